Add a mesh path: two hops over framed links, discovery through the store

Cause: the users' new machines let only processes of an upstream's own VM reach it, hold no disk, and speak a platform's language; the node so far sends one hop and reads a log of its own. Change: balsamhead mesh (package mesh) with the adapter in balsamhead/platform: callers' side, upstream's side, links, membership through a keyed topic, configuration by difference, rollouts. The parsing of heads moves to util/heads.py, so that both paths share it. Ruled out: the settings' nested names in the template (empty; the fields are flat there).

--- a/balsamhead/_cli/__init__.py
+++ b/balsamhead/_cli/__init__.py
@@ -26,6 +26,8 @@
     # a daemon doesn't load the library of the command line, which takes 6.5 MB
     if len(arguments) == 3 and arguments[:2] == ["node", "--settings"]:
         return _run_node(arguments[2], console)
+    if arguments == ["mesh"]:
+        return _run_mesh_node(console)
     return _run_client(arguments, console)
 
 
@@ -55,6 +57,20 @@
         return get_error_exit(exc)
 
 
+def _run_mesh_node(console: Console) -> int:
+    import os
+
+    from balsamhead._cli._exit import get_error_exit
+    from balsamhead.errors import BalsamheadError
+    from balsamhead.mesh.node import SETTINGS_VARIABLE, run_mesh_node
+
+    try:
+        return run_mesh_node(os.environ.get(SETTINGS_VARIABLE, ""))
+    except BalsamheadError as exc:
+        console.print_error(exc, as_json=False)
+        return get_error_exit(exc)
+
+
 def _run_client(arguments: list[str], console: Console) -> int:
     import cappa
 
--- a/balsamhead/errors.py
+++ b/balsamhead/errors.py
@@ -10,7 +10,9 @@
     "CallError",
     "DocumentError",
     "LinkError",
+    "LogConflictError",
     "LogError",
+    "LogExpiredError",
     "LogOutcomeUnknownError",
     "LogUnavailableError",
     "MalformedMessageError",
@@ -122,6 +124,25 @@
     code = "log-outcome-unknown"
 
 
+class LogConflictError(LogError):
+    """Report a conditional append whose condition didn't hold.
+
+    :ivar end: offset after the last record of the partition.
+    """
+
+    code = "log-conflict"
+
+    def __init__(self, end: int, *, step: str, peer: str = "") -> None:
+        super().__init__(f"the partition ends at {end}", step=step, peer=peer)
+        self.end = end
+
+
+class LogExpiredError(LogError):
+    """Report a read of records that the log no longer keeps."""
+
+    code = "log-expired"
+
+
 class OperatorError(BalsamheadError):
     """Report a request of an operator that was refused."""
 
--- /dev/null
+++ b/balsamhead/mesh/_caller.py
@@ -0,0 +1,350 @@
+"""Carry a caller's request: find its route, choose an upstream, repeat what may be repeated."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Final
+
+from balsamhead.mesh._calls import Answer, Call, Lost, Outcome, Refused
+from balsamhead.mesh._choice import Candidate, choose, measure_distance
+from balsamhead.mesh._routes import RouteTable, WeightedParts
+from balsamhead.mesh._server import Reply, Request
+from balsamhead.mesh.model import Config, Route, RouteKind
+from balsamhead.platform.headers import encode_retry_after, read_caller_fields
+from balsamhead.util.heads import FramingError
+
+if TYPE_CHECKING:
+    import random
+
+    from balsamhead.mesh._budget import RetryBudget
+    from balsamhead.mesh._fleet import Fleet
+    from balsamhead.mesh._metrics import MeshMetrics
+    from balsamhead.mesh._peers import Peer
+    from balsamhead.mesh._settings import MeshSettings
+    from balsamhead.mesh._shares import Shares
+    from balsamhead.mesh._upstream import LocalUpstream
+
+__all__ = ("CallerSide",)
+
+logger = logging.getLogger(__name__)
+
+#: how long a caller is assumed to wait when it doesn't say, in ms
+_DEFAULT_DEADLINE_MS: Final = 10_000
+#: nodes that are asked before a request is refused
+_MAX_TRIES: Final = 4
+#: weight of a new sample in the size of a route's requests and answers
+_SIZE_WEIGHT: Final = 0.05
+#: sizes that are assumed at first, in bytes
+_FIRST_SIZE: Final = 1200.0
+_FIRST_BULK_SIZE: Final = 100_000.0
+#: bytes of heads and frames of a call between nodes
+_OVERHEAD_BYTES: Final = 600.0
+#: time to come back that a refusal names, in s, when nothing better is known
+_RETRY_AFTER_S: Final = 0.1
+#: how long a peer that could not reach its upstream gets no calls, in s
+_PAUSE_S: Final = 0.3
+#: part of the deadline in which a wait is accepted that passes the objective
+_PATIENCE: Final = 0.5
+
+
+class _Trace:
+    """Hold what was tried for a request, for the log."""
+
+    __slots__ = ("arrivals", "maybe_run", "request_id", "route", "tried")
+
+    def __init__(self, request_id: bytes) -> None:
+        self.request_id = request_id.decode("latin-1")
+        self.route = ""
+        self.tried: list[str] = []
+        #: upstreams that got it
+        self.arrivals = 0
+        #: an upstream may have run it
+        self.maybe_run = False
+
+
+class CallerSide:
+    """Answer the requests that begin on this VM."""
+
+    def __init__(
+        self,
+        cfg: MeshSettings,
+        *,
+        fleet: Fleet,
+        local: LocalUpstream,
+        budget: RetryBudget,
+        shares: Shares,
+        metrics: MeshMetrics,
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._fleet = fleet
+        self._local = local
+        self._budget = budget
+        self._shares = shares
+        self._metrics = metrics
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._parts = WeightedParts()
+        self._sizes: dict[str, float] = {}
+        self._table: RouteTable | None = None
+
+    def set_config(self, config: Config) -> None:
+        """Put a configuration in force."""
+        self._table = RouteTable(config)
+
+    async def handle(self, request: Request) -> Reply:
+        """Answer a request."""
+        try:
+            fields = read_caller_fields(request.start.values)
+        except FramingError:
+            return Reply(400)
+        trace = _Trace(fields.request_id)
+        if self._table is None:
+            return self._refuse(trace, "config-unknown", _RETRY_AFTER_S)
+        route = self._table.find(request.start.host, request.start.path)
+        if route is None:
+            self._metrics.count("requests_unrouted")
+            return Reply(404)
+        trace.route = route.name
+        deadline_ms = fields.deadline_ms
+        wait_s = (_DEFAULT_DEADLINE_MS if deadline_ms is None else deadline_ms) / 1000
+        ends_at = request.read_at + min(wait_s, route.timeout_s)
+        service = self._parts.deal(route)
+        self._budget.count_request(service, self._loop.time())
+        try:
+            async with asyncio.timeout_at(ends_at):
+                reply = await self._carry(request, route, service, ends_at, trace)
+        except TimeoutError:
+            reply = self._fail(trace, "deadline-passed", 504)
+        self._metrics.observe(
+            "request_seconds", self._loop.time() - request.read_at, route.kind.value
+        )
+        return reply
+
+    async def _carry(
+        self, request: Request, route: Route, service: str, ends_at: float, trace: _Trace
+    ) -> Reply:
+        excluded: set[str] = set()
+        retry_after_s = _RETRY_AFTER_S
+        code = "no-upstream"
+        kept: Answer | None = None
+        while len(trace.tried) < _MAX_TRIES:
+            found = self._choose(request, route, service, excluded, ends_at)
+            if isinstance(found, Refused):
+                code, retry_after_s = found.code, found.retry_after_s or retry_after_s
+                break
+            outcome = await self._send(request, route, service, found, ends_at, trace)
+            if isinstance(outcome, Answer):
+                if not self._may_better(outcome, route, service, ends_at, trace):
+                    return self._deliver(request, route, outcome)
+                kept = outcome
+                excluded.add(found.node)
+                continue
+            excluded.add(found.node)
+            code = outcome.code
+            if isinstance(outcome, Refused):
+                retry_after_s = outcome.retry_after_s or retry_after_s
+                continue
+            trace.arrivals += 1
+            if isinstance(outcome, Lost):
+                trace.maybe_run = True
+            if not self._may_repeat(outcome, route, service, trace):
+                break
+        if kept is not None:
+            return self._deliver(request, route, kept)
+        if trace.maybe_run:
+            return self._fail(trace, code, 504 if code == "deadline-passed" else 502)
+        return self._refuse(trace, code, retry_after_s)
+
+    def _may_repeat(self, outcome: Outcome, route: Route, service: str, trace: _Trace) -> bool:
+        if isinstance(outcome, Lost) and (
+            route.kind is RouteKind.ONCE or outcome.code == "deadline-passed"
+        ):
+            return False
+        if trace.arrivals >= route.max_attempts:
+            return False
+        return self._budget.take(service, self._loop.time())
+
+    def _may_better(
+        self, answer: Answer, route: Route, service: str, ends_at: float, trace: _Trace
+    ) -> bool:
+        """Answer whether a failure of the upstream is to be tried again elsewhere."""
+        if answer.status < 500 or answer.rest is not None or route.kind is RouteKind.ONCE:
+            return False
+        trace.arrivals += 1
+        trace.maybe_run = True
+        left_ms = (ends_at - self._loop.time()) * 1000
+        if trace.arrivals >= route.max_attempts or left_ms < 2 * self._local.service_ms:
+            return False
+        return self._budget.take(service, self._loop.time())
+
+    # -- choice ------------------------------------------------------------------------------
+
+    def _choose(
+        self,
+        request: Request,
+        route: Route,
+        service: str,
+        excluded: set[str],
+        ends_at: float,
+    ) -> Candidate | Refused:
+        now = self._loop.time()
+        rows = self._list_candidates(service, now)
+        if not rows:
+            return Refused("no-upstream")
+        rows = [row for row in rows if row.node not in excluded]
+        rows = self._shares.select(service, rows)
+        size = self._sizes.get(route.name)
+        if size is None:
+            size = _FIRST_BULK_SIZE if route.kind is RouteKind.BULK else _FIRST_SIZE
+        found = choose(rows, kind=route.kind, size_bytes=size + _OVERHEAD_BYTES, rng=self._rng)
+        if found is None:
+            return Refused("upstreams-excluded")
+        left_ms = (ends_at - now) * 1000
+        objective_ms = (request.read_at + route.objective_s - now) * 1000
+        room_ms = max(objective_ms, left_ms * _PATIENCE) - found.candidate.service_ms
+        if found.wait_ms > max(room_ms, 0.0) and found.wait_ms > 0:
+            return Refused("upstreams-busy", min(found.wait_ms / 1000, left_ms / 3000))
+        return found.candidate
+
+    def _list_candidates(self, service: str, now: float) -> list[Candidate]:
+        cfg = self._cfg
+        rows = []
+        if cfg.service == service and self._local.accepts():
+            record = self._local.record
+            assert record is not None
+            load = self._local.get_load()
+            rows.append(
+                Candidate(
+                    node=cfg.node,
+                    version=record.version,
+                    slots=record.slots,
+                    busy=load.running + load.waiting,
+                    service_ms=load.service_ms,
+                    cold=self._local.is_cold(),
+                    distance=measure_distance(
+                        own=True,
+                        data_centre=cfg.data_centre,
+                        region=cfg.region,
+                        to_data_centre=cfg.data_centre,
+                        to_region=cfg.region,
+                    ),
+                )
+            )
+        for peer in self._fleet.table.peers.values():
+            if peer.record.service == service and self._is_open(peer, now):
+                rows.append(self._make_candidate(peer, now))
+        return rows
+
+    def _is_open(self, peer: Peer, now: float) -> bool:
+        view = peer.upstream
+        return (
+            view is not None
+            and view.accepts
+            and not peer.stopping
+            and now >= peer.paused_until
+            and peer.is_live(now, self._fleet.get_silence(peer))
+        )
+
+    def _make_candidate(self, peer: Peer, now: float) -> Candidate:
+        view = peer.upstream
+        assert view is not None
+        record = peer.record
+        return Candidate(
+            node=record.name,
+            version=view.version,
+            slots=view.slots,
+            busy=peer.estimate_busy(now),
+            service_ms=peer.load.service_ms or self._local.service_ms,
+            cold=view.cold,
+            distance=measure_distance(
+                own=False,
+                data_centre=self._cfg.data_centre,
+                region=self._cfg.region,
+                to_data_centre=record.data_centre,
+                to_region=record.region,
+            ),
+        )
+
+    async def _send(
+        self,
+        request: Request,
+        route: Route,
+        service: str,
+        found: Candidate,
+        ends_at: float,
+        trace: _Trace,
+    ) -> Outcome:
+        now = self._loop.time()
+        trace.tried.append(found.node)
+        start = request.start
+        call = Call(
+            request_id=trace.request_id.encode("latin-1"),
+            method=start.method,
+            target=start.target,
+            headers=start.forwarded,
+            route=route.name,
+            kind=route.kind,
+            priority=route.priority,
+            service=service,
+            version=found.version,
+            caller_service=self._cfg.service,
+            left_ms=max(1, int((ends_at - now) * 1000)),
+            objective_ms=int((request.read_at + route.objective_s - now) * 1000),
+            repeated=trace.arrivals > 0,
+        )
+        if found.distance.own:
+            return await self._local.run(call, request.body)
+        peer = self._fleet.table.peers.get(found.node)
+        if peer is None or peer.link is None:
+            return Refused("peer-gone")
+        peer.mine += 1
+        try:
+            outcome = await peer.link.call(call, request.body)
+        finally:
+            peer.mine -= 1
+        if isinstance(outcome, Refused) and outcome.code in (
+            "upstream-unreachable",
+            "upstream-unavailable",
+        ):
+            peer.paused_until = self._loop.time() + _PAUSE_S
+        return outcome
+
+    # -- answers -----------------------------------------------------------------------------
+
+    def _deliver(self, request: Request, route: Route, answer: Answer) -> Reply:
+        size = len(request.body) + max(answer.length, len(answer.body))
+        known = self._sizes.get(route.name, float(size))
+        self._sizes[route.name] = known + _SIZE_WEIGHT * (size - known)
+        self._metrics.count("requests_answered", f"{answer.status // 100}xx")
+        return Reply(
+            status=answer.status,
+            body=answer.body,
+            headers=answer.headers,
+            reason=answer.reason,
+            length=answer.length,
+            rest=answer.rest,
+        )
+
+    def _refuse(self, trace: _Trace, code: str, retry_after_s: float) -> Reply:
+        self._log(trace, code, 503)
+        return Reply(503, headers=encode_retry_after(retry_after_s))
+
+    def _fail(self, trace: _Trace, code: str, status: int) -> Reply:
+        self._log(trace, code, status)
+        return Reply(status)
+
+    def _log(self, trace: _Trace, code: str, status: int) -> None:
+        self._metrics.count("requests_failed", code)
+        logger.info(
+            "request-failed",
+            extra={
+                "id": trace.request_id,
+                "route": trace.route,
+                "status": status,
+                "code": code,
+                "tried": trace.tried,
+                "arrivals": trace.arrivals,
+            },
+        )
--- /dev/null
+++ b/balsamhead/mesh/_node.py
@@ -0,0 +1,526 @@
+"""Assemble a mesh node and run it until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from balsamhead.errors import LogError, MalformedMessageError, SettingsError
+from balsamhead.mesh._budget import RetryBudget
+from balsamhead.mesh._caller import CallerSide
+from balsamhead.mesh._evidence import EvidenceRow, OutcomeCounts
+from balsamhead.mesh._fleet import Fleet, FleetEvents
+from balsamhead.mesh._frames import Frame, FrameKind, decode_head, encode_frame
+from balsamhead.mesh._metrics import MeshMetrics
+from balsamhead.mesh._peers import Beat, Hello, Peer, UpstreamView, rank_nodes
+from balsamhead.mesh._rollouts import RolloutController, RolloutView
+from balsamhead.mesh._server import HttpServer, Reply, Request
+from balsamhead.mesh._settings import MeshSettings, load_mesh_settings
+from balsamhead.mesh._shares import Shares
+from balsamhead.mesh._spread import StateBook, decode_change, encode_change
+from balsamhead.mesh._upstream import LocalUpstream
+from balsamhead.mesh.model import Limits, NodeRecord, OperatorState, Phase, Rollout
+from balsamhead.platform.headers import REQUEST_DROPPED
+from balsamhead.platform.messages import decode_heartbeat, encode_heartbeat_answer
+from balsamhead.platform.records import PlatformRecords
+from balsamhead.platform.store import StoreClient
+from balsamhead.util.logs import configure_logging
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Coroutine
+
+    from balsamhead.mesh._calls import Call, Outcome
+    from balsamhead.mesh._link import Link
+
+__all__ = ("run_mesh_node",)
+
+logger = logging.getLogger(__name__)
+
+#: nodes that read the operator's records
+_READERS: Final = 2
+#: how long the store may hold back an empty read, in s
+_READ_WAIT_S: Final = 3.0
+#: pause after a failed call to the store, in s
+_STORE_PAUSE_S: Final = 0.5
+#: time between runs of the decisions, in s
+_TICK_S: Final = 0.2
+#: longest wait for links to the known nodes before the node is ready, in s
+_LINK_WAIT_S: Final = 0.8
+#: time between looks at the settings file, in s
+_SETTINGS_LOOK_S: Final = 2.0
+#: how long a stopping node goes on taking requests, in s
+_LINGER_S: Final = 2.4
+#: time before the forced end at which a stopping node gives up, in s
+_STOP_MARGIN_S: Final = 0.5
+#: pause between looks at whether a stopping node is done, in s
+_STOP_POLL_S: Final = 0.05
+
+_DEFAULT_LIMITS: Final = Limits(16_384, 64 << 20, 10.0, 60.0)
+
+
+class _RolloutHead(NamedTuple):
+    rollout: Rollout
+    elapsed_s: float
+
+
+class _EvidenceHead(NamedTuple):
+    service: str
+    rows: list[EvidenceRow]
+
+
+class MeshNode(FleetEvents):
+    """Hold the parts of a node and pass on what they tell each other."""
+
+    def __init__(self, cfg: MeshSettings, *, records: PlatformRecords, store: StoreClient) -> None:
+        self._cfg = cfg
+        self._records = records
+        self._store = store
+        self._loop = asyncio.get_running_loop()
+        rng = random.Random(f"{cfg.node}/{time.time_ns()}")
+        self._own = NodeRecord(
+            name=cfg.node,
+            incarnation=time.time_ns() // 1_000_000,
+            address=cfg.peer_address,
+            data_centre=cfg.data_centre,
+            region=cfg.region,
+            service=cfg.service,
+        )
+        self._book = StateBook()
+        self._shares = Shares()
+        self._counts = OutcomeCounts()
+        self._metrics = MeshMetrics()
+        self._local = LocalUpstream(
+            address=cfg.upstream_address,
+            service=cfg.service,
+            announce_interval_s=cfg.announce_interval,
+            on_change=self._upstream_changed,
+            on_result=self._counts.add,
+        )
+        self._fleet = Fleet(self._own, self, rng=rng)
+        self._budget = RetryBudget(
+            ratio=cfg.retry_ratio, slack=cfg.retry_slack, window_s=cfg.retry_window
+        )
+        self._caller = CallerSide(
+            cfg,
+            fleet=self._fleet,
+            local=self._local,
+            budget=self._budget,
+            shares=self._shares,
+            metrics=self._metrics,
+            rng=rng,
+        )
+        self._rollouts = RolloutController(self._shares, records, publish=self._publish_rollout)
+        self._callers = HttpServer(
+            self._caller.handle, get_limits=self._get_limits, dropped=REQUEST_DROPPED
+        )
+        self._others = [
+            HttpServer(self._answer_ready, get_limits=lambda: _DEFAULT_LIMITS),
+            HttpServer(self._answer_announcement, get_limits=lambda: _DEFAULT_LIMITS),
+            HttpServer(self._answer_metrics, get_limits=lambda: _DEFAULT_LIMITS),
+        ]
+        self._stopped = asyncio.Event()
+        self._stopping = False
+        self._store_failed = False
+        self._links_due = 0.0
+        self._sent_view: UpstreamView | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._was_ready = False
+
+    # -- life --------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Serve until the node is told to stop."""
+        cfg = self._cfg
+        await self._callers.start(cfg.caller_address)
+        ready, announce, metrics = self._others
+        await ready.start(cfg.ready_address)
+        await announce.start(cfg.announce_address)
+        if cfg.metrics_port:
+            host = cfg.peer_address.rpartition(":")[0]
+            await metrics.start(f"{host}:{cfg.metrics_port}")
+        await self._fleet.start()
+        self._watch_gauges()
+        logger.info("node-started", extra={"incarnation": self._own.incarnation})
+        self._spawn(self._join())
+        self._spawn(self._read_operator())
+        self._tick()
+        await self._stopped.wait()
+        await self._drain()
+        self._fleet.stop()
+        logger.info("node-stopped", extra={"running": self._local.running})
+
+    def stop(self) -> None:
+        """Begin to stop."""
+        if not self._stopping:
+            logger.info("stop-begun", extra={"running": self._local.running})
+            self._stopping = True
+            self._local.stopping = True
+            self._callers.closing = True
+            self._upstream_changed()
+            self._stopped.set()
+
+    def reload(self, cfg: MeshSettings) -> None:
+        """Put changed settings in force; addresses stay until the next start."""
+        logger.info("settings-reloaded", extra={"changed": cfg != self._cfg})
+        self._cfg = cfg
+
+    async def _drain(self) -> None:
+        began = self._loop.time()
+        ends_at = began + self._cfg.stop_deadline - _STOP_MARGIN_S
+        while self._loop.time() < ends_at:
+            await asyncio.sleep(_STOP_POLL_S)
+            if self._loop.time() - began < _LINGER_S:
+                continue
+            self._callers.close_idle()
+            if not self._callers.count_busy() and not self._local.running:
+                break
+        self._callers.stop_listening()
+
+    async def _join(self) -> None:
+        written = False
+        while True:
+            try:
+                if not written:
+                    await self._records.write_node(self._own)
+                    written = True
+                nodes = await self._records.read_nodes()
+                break
+            except LogError as exc:
+                self._note_store(exc)
+                await asyncio.sleep(_STORE_PAUSE_S)
+        for record in nodes:
+            self._fleet.learn(record)
+        self._links_due = self._loop.time() + _LINK_WAIT_S
+        logger.info("nodes-listed", extra={"nodes": len(nodes)})
+
+    async def _read_operator(self) -> None:
+        while not self._stopping:
+            if self._book.offset >= 0 and not self._is_reader():
+                await asyncio.sleep(_TICK_S / 2)
+                continue
+            try:
+                wait_s = _READ_WAIT_S if self._book.offset >= 0 else 0.0
+                state = await self._records.read_operator(self._book.state, wait_s=wait_s)
+                if state.orders and not self._shares.rollouts:
+                    for rollout in await self._records.read_rollouts():
+                        if rollout.phase is not Phase.RUNNING:
+                            self._shares.merge(rollout)
+            except LogError as exc:
+                self._note_store(exc)
+                await asyncio.sleep(_STORE_PAUSE_S)
+                continue
+            self._note_store(None)
+            if state.config is None:
+                await asyncio.sleep(_STORE_PAUSE_S)
+                continue
+            self._advance(state, source="store")
+
+    def _is_reader(self) -> bool:
+        names = [peer.record.name for peer in self._fleet.list_live() if not peer.store_failed]
+        ranked = rank_nodes([*names, self._own.name], "readers")
+        return self._own.name in ranked[:_READERS]
+
+    def _note_store(self, exc: LogError | None) -> None:
+        failed = exc is not None
+        if failed != self._store_failed:
+            self._store_failed = failed
+            if failed:
+                logger.warning("store-lost", extra={"error": str(exc)})
+            else:
+                logger.info("store-regained")
+
+    # -- operator's state --------------------------------------------------------------------
+
+    def _advance(self, state: OperatorState, *, source: str) -> None:
+        base = self._book.offset
+        if not self._book.advance(state):
+            return
+        self._put_in_force(source)
+        change = self._book.make_change(base)
+        if change is not None and base >= 0:
+            self._fleet.broadcast(encode_frame(FrameKind.CONFIG, 0, None, encode_change(change)))
+
+    def _put_in_force(self, source: str) -> None:
+        state = self._book.state
+        if state.config is not None:
+            self._caller.set_config(state.config)
+            logger.info(
+                "config-in-force",
+                extra={
+                    "version": state.config.version,
+                    "offset": state.offset,
+                    "source": source,
+                },
+            )
+        for order in state.orders.values():
+            self._rollouts.hear_order(order)
+
+    def _take_change(self, peer: Peer, link: Link, frame: Frame) -> None:
+        change = decode_change(frame.body, peer=link.peer)
+        applied = self._book.apply_change(change)
+        if applied is None:
+            link.send(FrameKind.CONFIG_PULL, 0, (self._book.offset,))
+        elif applied:
+            self._put_in_force(f"peer {peer.record.name}")
+
+    def _give_change(self, link: Link, base: int) -> None:
+        change = self._book.make_change(base)
+        if change is not None and change.offset > base:
+            link.send(FrameKind.CONFIG, 0, None, encode_change(change))
+
+    # -- rollouts ----------------------------------------------------------------------------
+
+    def _publish_rollout(self, rollout: Rollout) -> None:
+        if self._shares.merge(rollout):
+            self._fleet.broadcast(self._encode_rollout(rollout))
+
+    def _encode_rollout(self, rollout: Rollout) -> bytes:
+        elapsed_s = self._rollouts.get_elapsed(rollout.service)
+        return encode_frame(FrameKind.ROLLOUT, 0, _RolloutHead(rollout, elapsed_s))
+
+    def _take_rollout(self, head: _RolloutHead) -> None:
+        if self._shares.merge(head.rollout):
+            rollout = head.rollout
+            self._rollouts.hear_elapsed(rollout, head.elapsed_s)
+            logger.info(
+                "rollout-heard",
+                extra={
+                    "service": rollout.service,
+                    "version": rollout.version,
+                    "phase": rollout.phase.value,
+                    "share": rollout.share,
+                },
+            )
+
+    def _find_decider(self, service: str) -> str:
+        names = [peer.record.name for peer in self._fleet.list_live() if not peer.stopping]
+        if not self._stopping:
+            names.append(self._own.name)
+        ranked = rank_nodes(names, f"rollout/{service}")
+        return ranked[0] if ranked else ""
+
+    def _report_evidence(self) -> None:
+        rows = self._counts.take()
+        rollout = self._shares.rollouts.get(self._cfg.service)
+        if not rows or rollout is None or rollout.phase is not Phase.RUNNING:
+            return
+        decider = self._find_decider(rollout.service)
+        if decider == self._own.name:
+            self._rollouts.add_evidence(rollout.service, rows)
+            return
+        peer = self._fleet.table.peers.get(decider)
+        link = self._fleet.get_link(peer) if peer is not None else None
+        if link is not None:
+            link.send(FrameKind.EVIDENCE, 0, _EvidenceHead(rollout.service, rows))
+
+    def _decide_rollouts(self) -> None:
+        for order in self._book.state.orders.values():
+            if self._find_decider(order.service) == self._own.name:
+                self._rollouts.decide(order, self._view_rollout(order.service, order.version))
+
+    def _view_rollout(self, service: str, version: str) -> RolloutView:
+        new_ready = old_busy = 0
+        own = self._make_view()
+        rows = [(own, self._local.get_load())] if self._cfg.service == service else []
+        for peer in self._fleet.table.peers.values():
+            if peer.record.service == service and self._fleet.get_link(peer) is not None:
+                rows.append((peer.upstream, peer.load))
+        for view, load in rows:
+            if view is None:
+                continue
+            if view.version == version:
+                new_ready += view.accepts
+            else:
+                old_busy += load.running + load.waiting
+        steps = self._shares.steps
+        in_force = all(peer.steps == steps for peer in self._fleet.list_live())
+        return RolloutView(new_ready, old_busy, in_force)
+
+    # -- ticks -------------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        live = self._fleet.list_live()
+        self._budget.nodes = len(live) + 1
+        if self._make_view() != self._sent_view:
+            self._upstream_changed()
+        self._report_evidence()
+        self._decide_rollouts()
+        self._loop.call_later(_TICK_S, self._tick)
+
+    def _upstream_changed(self) -> None:
+        view = self._make_view()
+        if view != self._sent_view:
+            self._sent_view = view
+            self._fleet.announce_upstream(view)
+
+    def _make_view(self) -> UpstreamView | None:
+        record = self._local.record
+        if record is None:
+            return None
+        return UpstreamView(
+            record.id, record.version, record.slots, self._local.accepts(), self._local.is_cold()
+        )
+
+    # -- what peers ask and say --------------------------------------------------------------
+
+    def make_hello(self) -> Hello:
+        """Return how the node introduces itself."""
+        return Hello(
+            self._own,
+            self._make_view(),
+            self._local.get_load(),
+            self._book.offset,
+            self._stopping,
+        )
+
+    def make_beat(self) -> Beat:
+        """Return what a heartbeat says."""
+        return Beat(
+            self._book.offset, self._local.get_load(), self._store_failed, self._shares.steps
+        )
+
+    async def _run_call(self, call: Call, body: bytes) -> Outcome:
+        task = self._local.run(call, body)
+        try:
+            return await task
+        finally:
+            self._fleet.announce_load()
+
+    def run_call(self, call: Call, body: bytes) -> Awaitable[Outcome]:
+        """Run a peer's call on this node's upstream."""
+        self._fleet.announce_load()
+        return self._run_call(call, body)
+
+    def peer_heard(self, peer: Peer, link: Link) -> None:
+        """Ask a peer for what it has and this node lacks."""
+        if peer.offset > self._book.offset:
+            link.send(FrameKind.CONFIG_PULL, 0, (self._book.offset,))
+        if peer.steps != self._shares.steps:
+            for rollout in self._shares.rollouts.values():
+                link.send_encoded(self._encode_rollout(rollout))
+
+    def frame_received(self, peer: Peer, link: Link, frame: Frame) -> None:
+        """Take in a frame about the configuration or a rollout."""
+        match frame.kind:
+            case FrameKind.CONFIG:
+                self._take_change(peer, link, frame)
+            case FrameKind.CONFIG_PULL:
+                self._give_change(link, decode_head(frame, tuple[int], peer=link.peer)[0])
+            case FrameKind.ROLLOUT:
+                self._take_rollout(decode_head(frame, _RolloutHead, peer=link.peer))
+            case FrameKind.EVIDENCE:
+                evidence = decode_head(frame, _EvidenceHead, peer=link.peer)
+                self._rollouts.add_evidence(evidence.service, evidence.rows)
+            case _:
+                raise MalformedMessageError(
+                    f"unknown kind {frame.kind}", step="take-frame", peer=link.peer
+                )
+
+    # -- the platform's questions ------------------------------------------------------------
+
+    def _get_limits(self) -> Limits:
+        config = self._book.state.config
+        return _DEFAULT_LIMITS if config is None else config.limits
+
+    def _is_ready(self) -> bool:
+        if self._stopping or self._book.state.config is None:
+            return False
+        if not self._was_ready:
+            due = self._links_due
+            linked = due > 0.0 and (self._fleet.count_unlinked() == 0 or self._loop.time() >= due)
+            self._was_ready = linked or bool(self._fleet.list_live())
+        return self._was_ready
+
+    async def _answer_ready(self, request: Request) -> Reply:
+        del request
+        return Reply(200 if self._is_ready() else 503)
+
+    async def _answer_metrics(self, request: Request) -> Reply:
+        del request
+        return Reply(200, self._metrics.render(), b"Content-Type: text/plain; version=0.0.4\r\n")
+
+    async def _answer_announcement(self, request: Request) -> Reply:
+        start = request.start
+        prefix, _, upstream_id = start.path.rpartition("/")
+        if prefix != "/instances" or not upstream_id:
+            return Reply(404)
+        if start.method == "DELETE":
+            self._local.leave(upstream_id)
+        else:
+            try:
+                record = decode_heartbeat(upstream_id, request.body)
+            except MalformedMessageError as exc:
+                logger.warning("announcement-malformed", extra={"error": str(exc)})
+                return Reply(400)
+            self._local.accept_record(record)
+        return Reply(200, encode_heartbeat_answer(), b"Content-Type: application/json\r\n")
+
+    def _watch_gauges(self) -> None:
+        watch = self._metrics.watch
+        watch("config_offset", lambda: {"": self._book.offset})
+        watch("requests_running", lambda: {"": self._local.running})
+        watch("requests_waiting", lambda: {"": self._local.get_load().waiting})
+        watch("links_live", lambda: {"": len(self._fleet.list_live())})
+        watch("store_calls", lambda: {key[1:]: n for key, n in self._store.calls.items()})
+
+    def _spawn(self, coro: Coroutine[None, None, None]) -> None:
+        task = self._loop.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def run_mesh_node(path: str) -> int:
+    """Run a mesh node with the settings of a file and return the exit code.
+
+    :raises SettingsError: the file has mistakes.
+    """
+    cfg = load_mesh_settings(path)
+    configure_logging(level=cfg.log_level, node=cfg.node)
+    asyncio.run(_run(cfg, path))
+    return 0
+
+
+async def _run(cfg: MeshSettings, path: str) -> None:
+    store = StoreClient(cfg.store_address)
+    node = MeshNode(cfg, records=PlatformRecords(store), store=store)
+    loop = asyncio.get_running_loop()
+
+    def reload() -> None:
+        try:
+            node.reload(load_mesh_settings(path))
+        except SettingsError as exc:
+            logger.error("settings-refused", extra={"error": str(exc)})
+
+    loop.add_signal_handler(signal.SIGTERM, node.stop)
+    loop.add_signal_handler(signal.SIGINT, node.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    watcher = loop.create_task(_watch_file(path, reload))
+    try:
+        await node.run()
+    finally:
+        watcher.cancel()
+
+
+async def _watch_file(path: str, reload: Callable[[], None]) -> None:
+    known = _get_stamp(path)
+    while True:
+        await asyncio.sleep(_SETTINGS_LOOK_S)
+        stamp = _get_stamp(path)
+        if stamp != known:
+            known = stamp
+            reload()
+
+
+def _get_stamp(path: str) -> tuple[int, int]:
+    try:
+        status = os.stat(Path(path))
+    except OSError as exc:
+        logger.warning("settings-unreadable", extra={"error": repr(exc)})
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
--- /dev/null
+++ b/balsamhead/mesh/model.py
@@ -0,0 +1,35 @@
+"""Rows that the nodes of a mesh exchange and keep."""
+
+from __future__ import annotations
+
+from balsamhead.mesh._model import (
+    Config,
+    Limits,
+    Load,
+    NodeRecord,
+    OperatorState,
+    Order,
+    Part,
+    Phase,
+    Rollout,
+    Route,
+    RouteKind,
+    UpstreamRecord,
+    UpstreamState,
+)
+
+__all__ = (
+    "Config",
+    "Limits",
+    "Load",
+    "NodeRecord",
+    "OperatorState",
+    "Order",
+    "Part",
+    "Phase",
+    "Rollout",
+    "Route",
+    "RouteKind",
+    "UpstreamRecord",
+    "UpstreamState",
+)
--- /dev/null
+++ b/balsamhead/mesh/node.py
@@ -0,0 +1,8 @@
+"""The daemon of a mesh node."""
+
+from __future__ import annotations
+
+from balsamhead.mesh._node import run_mesh_node
+from balsamhead.mesh._settings import SETTINGS_VARIABLE
+
+__all__ = ("SETTINGS_VARIABLE", "run_mesh_node")
--- /dev/null
+++ b/balsamhead/platform/messages.py
@@ -0,0 +1,230 @@
+"""Decode what the operator and the upstreams write, and encode what the operator reads."""
+
+from __future__ import annotations
+
+import re
+from typing import Final
+
+import msgspec
+
+from balsamhead.errors import MalformedMessageError
+from balsamhead.mesh.model import (
+    Config,
+    Limits,
+    Order,
+    Part,
+    Phase,
+    Rollout,
+    Route,
+    RouteKind,
+    UpstreamRecord,
+    UpstreamState,
+)
+
+__all__ = (
+    "CONFIG_KEY",
+    "ROLLOUT_KEY_PREFIX",
+    "decode_config",
+    "decode_heartbeat",
+    "decode_order",
+    "decode_rollout_status",
+    "encode_heartbeat_answer",
+    "encode_rollout_status",
+    "parse_duration",
+)
+
+#: key of the newest configuration
+CONFIG_KEY: Final = "config"
+#: what stands before a service's name in the key of its rollout
+ROLLOUT_KEY_PREFIX: Final = "rollout/"
+
+_DURATION: Final = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_KINDS: Final = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.ONCE,
+    "download": RouteKind.BULK,
+}
+_PHASES: Final = {
+    Phase.RUNNING: "running",
+    Phase.COMPLETED: "completed",
+    Phase.ROLLED_BACK: "rolled_back",
+}
+#: bound on the slots that an upstream may claim
+_MAX_SLOTS: Final = 10_000
+
+
+class _Backend(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    host: str
+    path_prefix: str
+    kind: str
+    timeout: str
+    target_latency: str = ""
+    priority: int = 0
+    service: str = ""
+    backends: list[_Backend] = []
+    max_attempts: int = 1
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: str
+    idle_timeout: str
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: dict[str, _Route]
+    services: dict[str, dict[str, object]]
+    limits: _Limits
+
+
+class _Order(msgspec.Struct):
+    service: str
+    target_version: str
+    duration: str
+
+
+class _Status(msgspec.Struct):
+    state: str
+    target_version: str
+    #: offset of the order; the operator doesn't read it
+    order: int = -1
+
+
+class _Heartbeat(msgspec.Struct):
+    service: str
+    address: str
+    version: str
+    slots: int
+    state: str
+    sequence: int
+    born: int
+    cold_left: str = "0ms"
+
+
+def parse_duration(text: str) -> float:
+    """Return a time such as "1500ms" in s.
+
+    :raises ValueError: it is written otherwise.
+    """
+    found = _DURATION.fullmatch(text)
+    if found is None:
+        raise ValueError(f"{text!r} is no time")
+    return float(found[1]) * (0.001 if found[2] == "ms" else 1.0)
+
+
+def decode_config(data: bytes) -> Config:
+    """Decode a configuration and check that it is closed under reference.
+
+    :raises MalformedMessageError: it can't be read, or a route names what it lacks.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Config)
+        routes = {name: _convert_route(name, row) for name, row in raw.routes.items()}
+        limits = _convert_limits(raw.limits)
+    except (msgspec.DecodeError, ValueError, KeyError, RecursionError) as exc:
+        raise _malformed("decode-config", exc) from exc
+    for route in routes.values():
+        missing = [part.service for part in route.parts if part.service not in raw.services]
+        if missing or not route.parts:
+            raise _malformed("decode-config", f"route {route.name} has no service {missing}")
+    return Config(raw.version, limits, tuple(sorted(raw.services)), routes)
+
+
+def decode_order(data: bytes, *, offset: int) -> Order:
+    """Decode the order of a rollout.
+
+    :raises MalformedMessageError: it can't be read.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Order)
+        return Order(raw.service, raw.target_version, parse_duration(raw.duration), offset)
+    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+        raise _malformed("decode-order", exc) from exc
+
+
+def decode_heartbeat(upstream_id: str, data: bytes) -> UpstreamRecord:
+    """Decode what an upstream says of itself.
+
+    :raises MalformedMessageError: it can't be read or names an unknown state.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Heartbeat)
+        state = UpstreamState(raw.state)
+        cold_s = parse_duration(raw.cold_left)
+    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+        raise _malformed("decode-heartbeat", exc) from exc
+    if not 0 < raw.slots <= _MAX_SLOTS or not upstream_id:
+        raise _malformed("decode-heartbeat", f"{raw.slots} slots")
+    return UpstreamRecord(
+        id=upstream_id,
+        service=raw.service,
+        address=raw.address,
+        version=raw.version,
+        slots=raw.slots,
+        state=state,
+        cold_s=cold_s,
+        born_ms=raw.born,
+        sequence=raw.sequence,
+    )
+
+
+def encode_heartbeat_answer() -> bytes:
+    """Encode the acknowledgement of a heartbeat."""
+    return b"{}"
+
+
+def encode_rollout_status(rollout: Rollout) -> tuple[str, bytes]:
+    """Encode the key and value under which the operator reads a rollout's state."""
+    row = _Status(_PHASES[rollout.phase], rollout.version, rollout.order)
+    return ROLLOUT_KEY_PREFIX + rollout.service, msgspec.json.encode(row)
+
+
+def decode_rollout_status(service: str, data: bytes) -> Rollout:
+    """Decode a rollout's state as ``encode_rollout_status`` wrote it.
+
+    :raises MalformedMessageError: it can't be read.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Status)
+        phase = next(phase for phase, word in _PHASES.items() if word == raw.state)
+    except (msgspec.DecodeError, ValueError, StopIteration, RecursionError) as exc:
+        raise _malformed("decode-status", exc) from exc
+    return Rollout(service, raw.target_version, raw.order, phase, 0, 0.0)
+
+
+def _convert_route(name: str, raw: _Route) -> Route:
+    parts = [Part(row.service, row.weight) for row in raw.backends]
+    if raw.service:
+        parts = [Part(raw.service, 1.0)]
+    timeout_s = parse_duration(raw.timeout)
+    return Route(
+        name=name,
+        host=raw.host.lower(),
+        prefix=raw.path_prefix,
+        kind=_KINDS[raw.kind],
+        timeout_s=timeout_s,
+        objective_s=parse_duration(raw.target_latency) if raw.target_latency else timeout_s,
+        priority=raw.priority,
+        max_attempts=max(1, raw.max_attempts),
+        parts=tuple(parts),
+    )
+
+
+def _convert_limits(raw: _Limits) -> Limits:
+    return Limits(
+        header_bytes=raw.max_header_bytes,
+        body_bytes=raw.max_body_bytes,
+        header_timeout_s=parse_duration(raw.header_timeout),
+        idle_timeout_s=parse_duration(raw.idle_timeout),
+    )
+
+
+def _malformed(step: str, cause: object) -> MalformedMessageError:
+    return MalformedMessageError(f"message can't be decoded: {cause}", step=step)
--- a/balsamhead/rollout/__init__.py
+++ b/balsamhead/rollout/__init__.py
@@ -26,9 +26,9 @@
     plan_shares,
 )
 from balsamhead.rollout._policy import MAX_FIRST_SHARE, PRESETS
-from balsamhead.rollout._sequential import Increment, Stream
 from balsamhead.rollout._system import Rollouts
 from balsamhead.rollout._track import DecisionRow, Track
+from balsamhead.util.sequential import Increment, Stream
 
 __all__ = (
     "MAX_FIRST_SHARE",
--- a/balsamhead/rollout/_evidence.py
+++ b/balsamhead/rollout/_evidence.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.rollout._policy import COLD_START_S
-from balsamhead.rollout._sequential import RATIOS, Increment, Stream
+from balsamhead.util.sequential import RATIOS, Increment, Stream
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/balsamhead/rollout/_plan.py
+++ b/balsamhead/rollout/_plan.py
@@ -12,7 +12,7 @@
     bound_first_share,
     slack_share,
 )
-from balsamhead.rollout._sequential import count_needed_failures
+from balsamhead.util.sequential import count_needed_failures
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
