--- a/balsamhead/mesh/_budget.py
+++ b/balsamhead/mesh/_budget.py
@@ -29,14 +29,17 @@
         """Take in a request for a service."""
         self._add(self._requests, service, now)
 
-    def take(self, service: str, now: float) -> bool:
-        """Take one repeat from the budget; tell whether it was left."""
+    def take(self, service: str, now: float, *, part: float = 1.0) -> bool:
+        """Take one repeat from the budget; tell whether it was left.
+
+        :param part: part of the budget that may be in use after it, 0 to 1.
+        """
         repeats = self._repeats.setdefault(service, deque())
         requests = self._requests.setdefault(service, deque())
         self._expire(repeats, now)
         self._expire(requests, now)
         allowed = self._ratio * len(requests) + self._slack / self.nodes
-        if len(repeats) + 1 > allowed:
+        if len(repeats) + 1 > allowed * part:
             return False
         repeats.append(now)
         return True
--- a/balsamhead/mesh/_caller.py
+++ b/balsamhead/mesh/_caller.py
@@ -46,6 +46,8 @@
 _PAUSE_S: Final = 0.3
 #: part of the deadline in which a wait is accepted that passes the objective
 _PATIENCE: Final = 0.5
+#: part of the budget of repeats that answered failures may use, since their inner calls repeat too
+_FAILURE_PART: Final = 0.2
 
 
 class _Trace:
@@ -177,7 +179,7 @@
         left_ms = (ends_at - self._loop.time()) * 1000
         if trace.arrivals >= route.max_attempts or left_ms < 2 * self._local.service_ms:
             return False
-        return self._budget.take(service, self._loop.time())
+        return self._budget.take(service, self._loop.time(), part=_FAILURE_PART)
 
     # -- choice ------------------------------------------------------------------------------
 
--- a/balsamhead/mesh/_fleet.py
+++ b/balsamhead/mesh/_fleet.py
@@ -23,7 +23,7 @@
 logger = logging.getLogger(__name__)
 
 #: time between heartbeats within a data centre and over its border, in s
-_NEAR_BEAT_S: Final = 0.4
+_NEAR_BEAT_S: Final = 0.45
 _FAR_BEAT_S: Final = 0.8
 #: silence after which a link gets no calls, and after which it is dropped, in heartbeats
 _SUSPECT_BEATS: Final = 1.8
@@ -38,9 +38,11 @@
 #: failed attempts after which a node that isn't heard any more is forgotten
 _MAX_FAILED_DIALS: Final = 200
 #: time between runs of the upkeep, in s
-_TICK_S: Final = 0.1
+_TICK_S: Final = 0.15
+#: time that the node with the greater name leaves the other to dial, in s
+_YIELD_S: Final = 0.3
 #: shortest time between two reports of load to the data centre, in s for each peer there
-_LOAD_GAP_S: Final = 0.006
+_LOAD_GAP_S: Final = 0.012
 
 
 class FleetEvents:
@@ -74,7 +76,6 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._links: set[Link] = set()
-        self._accepted: dict[str, Link] = {}
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._dials: set[asyncio.Task[None]] = set()
@@ -135,10 +136,19 @@
                 link.send_encoded(data)
 
     def get_link(self, peer: Peer) -> Link | None:
-        """Return a link to a peer in either direction."""
-        if peer.link is not None and peer.link.is_open():
-            return peer.link
-        return self._accepted.get(peer.record.name)
+        """Return the open link to a peer, if there is one."""
+        return peer.link if peer.link is not None and peer.link.is_open() else None
+
+    def _prefer(self, peer: Peer, link: Link) -> None:
+        """Use one of two links: the one that the node with the lesser name dialled."""
+        known = self.get_link(peer)
+        if known is None or known is link or known.dialled == link.dialled:
+            peer.link = link
+            return
+        own_dials = self._own.name < peer.record.name
+        peer.link, spare = (link, known) if link.dialled == own_dials else (known, link)
+        if spare.dialled and not spare.is_in_use():
+            spare.close("spare")
 
     def announce_upstream(self, view: UpstreamView | None) -> None:
         """Tell the peers that this node's upstream changed."""
@@ -168,13 +178,15 @@
             return
         interval = self._get_interval(peer)
         name = peer.record.name
+        if not link.dialled:
+            interval += _TICK_S
         if now - link.heard_at > _SILENT_BEATS * interval + _ANSWER_S:
             logger.warning(
                 "link-silent",
                 extra={"peer": name, "silence_s": round(now - link.heard_at, 2)},
             )
             link.close("silent")
-        elif now - self._beat_at.get(name, 0.0) >= interval:
+        elif link.dialled and now - self._beat_at.get(name, 0.0) >= interval:
             self._beat_at[name] = now
             link.send(FrameKind.BEAT, 0, self._events.make_beat())
 
@@ -195,9 +207,9 @@
             self._note_failed_dial(peer, exc)
         else:
             link.peer = peer.record.name
-            peer.link = link
             peer.failed_dials = 0
             self._beat_at[link.peer] = self._loop.time()
+            self._prefer(peer, link)
         finally:
             peer.dialling = False
 
@@ -227,7 +239,7 @@
         self._load_sent_at = self._loop.time()
         data = encode_frame(FrameKind.LOAD, 0, load)
         for peer in self.table.peers.values():
-            if self._is_near(peer) and (link := self._accepted.get(peer.record.name)):
+            if self._is_near(peer) and (link := self.get_link(peer)):
                 link.send_encoded(data)
 
     # -- what links bring --------------------------------------------------------------------
@@ -240,12 +252,11 @@
     def link_closed(self, link: Link, reason: str) -> None:
         """Forget a link; try again at once if it was the one that carries calls."""
         self._links.discard(link)
-        if self._accepted.get(link.peer) is link:
-            del self._accepted[link.peer]
         peer = self.table.peers.get(link.peer)
         if peer is not None and peer.link is link:
             peer.link = None
-            peer.dial_at = self._loop.time() + _FIRST_PAUSE_S * self._rng.random()
+            yields = 0.0 if self._own.name < link.peer else _YIELD_S
+            peer.dial_at = self._loop.time() + yields + _FIRST_PAUSE_S * self._rng.random()
             logger.info("link-lost", extra={"peer": link.peer, "reason": reason})
 
     def frame_received(self, link: Link, frame: Frame) -> None:
@@ -294,10 +305,8 @@
             return
         link.peer = hello.node.name
         if not link.dialled:
-            self._accepted[link.peer] = link
-            if peer.link is None:
-                peer.dial_at = 0.0
-                peer.failed_dials = 0
+            peer.failed_dials = 0
+            self._prefer(peer, link)
         peer.upstream = hello.upstream
         peer.offset = hello.offset
         peer.stopping = hello.stopping
--- a/balsamhead/mesh/_link.py
+++ b/balsamhead/mesh/_link.py
@@ -173,6 +173,10 @@
         """Answer whether frames can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    def is_in_use(self) -> bool:
+        """Answer whether calls are on the way, in either direction."""
+        return bool(self._streams or self._running or self._partial)
+
     def close(self, reason: str) -> None:
         """Drop the link."""
         self._reason = self._reason or reason
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -31,6 +31,7 @@
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
 from balsamhead.util.logs import configure_logging
+from balsamhead.util.loop import make_event_loop
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
@@ -202,7 +203,7 @@
     async def _read_operator(self) -> None:
         while not self._stopping:
             if self._book.offset >= 0 and not self._is_reader():
-                await asyncio.sleep(_TICK_S / 2)
+                await asyncio.sleep(_TICK_S)
                 continue
             try:
                 wait_s = _READ_WAIT_S if self._book.offset >= 0 else 0.0
@@ -482,7 +483,8 @@
     """
     cfg = load_mesh_settings(path)
     configure_logging(level=cfg.log_level, node=cfg.node)
-    asyncio.run(_run(cfg, path))
+    with asyncio.Runner(loop_factory=make_event_loop) as runner:
+        runner.run(_run(cfg, path))
     return 0
 
 
--- a/balsamhead/mesh/_peers.py
+++ b/balsamhead/mesh/_peers.py
@@ -78,7 +78,7 @@
 
     def __init__(self, record: NodeRecord) -> None:
         self.record = record
-        #: the link that this node dialled
+        #: the link that carries frames both ways
         self.link: Link | None = None
         self.upstream: UpstreamView | None = None
         self.load = Load(0, 0, 0.0)
--- a/balsamhead/mesh/_server.py
+++ b/balsamhead/mesh/_server.py
@@ -26,7 +26,7 @@
 logger = logging.getLogger(__name__)
 
 #: time between sweeps over the connections, in s
-_SWEEP_S: Final = 0.25
+_SWEEP_S: Final = 0.5
 #: bytes of following requests that are kept while one is answered
 _MAX_AHEAD_BYTES: Final = 64 << 10
 
