--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -132,6 +132,7 @@
         self._sent_view: UpstreamView | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._was_ready = False
+        self._timers: list[asyncio.TimerHandle] = []
 
     # -- life --------------------------------------------------------------------------------
 
@@ -166,6 +167,16 @@
             self._upstream_changed()
             self._stopped.set()
 
+    def kill(self) -> None:
+        """Drop everything at once, as if the process had ended."""
+        for timer in self._timers:
+            timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+        for server in (self._callers, *self._others):
+            server.stop_listening()
+        self._fleet.stop()
+
     def reload(self, cfg: MeshSettings) -> None:
         """Put changed settings in force; addresses stay until the next start."""
         logger.info("settings-reloaded", extra={"changed": cfg != self._cfg})
@@ -352,7 +363,7 @@
             self._upstream_changed()
         self._report_evidence()
         self._decide_rollouts()
-        self._loop.call_later(_TICK_S, self._tick)
+        self._timers[:] = [self._loop.call_later(_TICK_S, self._tick)]
 
     def _upstream_changed(self) -> None:
         view = self._make_view()
--- /dev/null
+++ b/tests/test_mesh/builders.py
@@ -0,0 +1,286 @@
+"""Build fleets of real nodes in memory, with upstreams, callers and a store, on a virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from balsamhead.mesh._node import MeshNode
+from balsamhead.mesh._server import HttpServer, Reply, Request
+from balsamhead.mesh._settings import MeshSettings
+from balsamhead.mesh.model import Limits
+from balsamhead.platform.records import PlatformRecords
+from balsamhead.platform.store import StoreClient
+from balsamhead.util.heads import BodyDecoder, parse_answer
+from standin.platform_store import PlatformStore
+from standin.virtual import RUNNING_AS, VirtualLoop
+
+STORE = "10.9.0.1:8000"
+LIMITS = Limits(16_384, 8 << 20, 10.0, 60.0)
+PLACES = {"east-a": "east", "east-b": "east", "west-a": "west"}
+NO_HEADERS: frozenset[bytes] = frozenset()
+
+
+def run_virtual(main: Callable[[], Awaitable[None]]) -> None:
+    """Run a test on a virtual clock."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        loop.run_until_complete(main())
+    finally:
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+def make_settings(number: int, *, service: str = "desk", place: str = "east-a") -> MeshSettings:
+    host = f"10.0.0.{number}"
+    return MeshSettings(
+        node=f"node-{number}",
+        region=PLACES[place],
+        data_centre=place,
+        service=service,
+        upstream_address=f"{host}:8000",
+        caller_address=f"{host}:8001",
+        ready_address=f"{host}:8002",
+        announce_address=f"{host}:8003",
+        peer_address=f"{host}:8004",
+        metrics_port=8005,
+        store_address=STORE,
+        announce_interval=1.5,
+        stop_deadline=6.0,
+        max_memory_mb=100,
+        retry_ratio=0.2,
+        retry_slack=64.0,
+        retry_window=10.0,
+        log_level="info",
+        data_centres=PLACES,
+    )
+
+
+def make_route(**changes: Any) -> dict[str, Any]:
+    row = {
+        "host": "plots.example",
+        "path_prefix": "/check/",
+        "kind": "safe",
+        "timeout": "1000ms",
+        "target_latency": "250ms",
+        "priority": 2,
+        "service": "desk",
+        "max_attempts": 2,
+    }
+    row.update(changes)
+    return row
+
+
+def make_config(version: int = 1, **routes: dict[str, Any]) -> dict[str, Any]:
+    rows = {
+        "check": make_route(),
+        "accept": make_route(path_prefix="/accept/", kind="unsafe", priority=1),
+        **routes,
+    }
+    service = {"health_path": "/health", "max_conns": 130, "protocol": "h1", "tls": False}
+    return {
+        "version": version,
+        "routes": rows,
+        "services": {"desk": service, "registry": service},
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+    }
+
+
+class Response(NamedTuple):
+    status: int
+    headers: dict[bytes, list[bytes]]
+    body: bytes
+
+
+class FakeUpstream:
+    """Run requests like an upstream: slots, work time, its id, a record of what it ran."""
+
+    def __init__(self, cfg: MeshSettings, *, version: str = "v1", slots: int = 4) -> None:
+        self.cfg = cfg
+        self.id = f"i-{cfg.node}"
+        self.version = version
+        self.slots = slots
+        self.work_s = 0.05
+        self.born = 1000
+        self.state = "ready"
+        self.sequence = 0
+        self.ran: Counter[str] = Counter()
+        self.seen: list[Request] = []
+        self.running = 0
+        self.most_running = 0
+        #: answers instead of the usual one
+        self.answer: Callable[[Request], Reply | None] = lambda request: None
+        self._server = HttpServer(self._run, get_limits=lambda: LIMITS)
+        self._beating: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        RUNNING_AS.set(self.cfg.upstream_address.split(":")[0])
+        await self._server.start(self.cfg.upstream_address)
+        self._beating = asyncio.get_running_loop().create_task(self._beat())
+
+    def crash(self) -> None:
+        """End without a word."""
+        self._server.stop_listening()
+        for conn in list(self._server.connections):
+            conn._abort()
+        if self._beating is not None:
+            self._beating.cancel()
+
+    async def announce(self) -> Response:
+        self.sequence += 1
+        body = {
+            "service": self.cfg.service,
+            "address": self.cfg.upstream_address,
+            "zone": self.cfg.data_centre,
+            "version": self.version,
+            "slots": self.slots,
+            "state": self.state,
+            "cold_left": "0ms",
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        return await send(
+            self.cfg.announce_address, "PUT", f"/instances/{self.id}", json.dumps(body).encode()
+        )
+
+    async def leave(self) -> Response:
+        return await send(self.cfg.announce_address, "DELETE", f"/instances/{self.id}")
+
+    async def _beat(self) -> None:
+        while True:
+            try:
+                await self.announce()
+            except OSError:
+                await asyncio.sleep(0.3)
+                continue
+            await asyncio.sleep(1.5)
+
+    async def _run(self, request: Request) -> Reply:
+        values = request.start.values
+        if values.get(b"target-instance", [self.id.encode()])[0].decode() != self.id:
+            return Reply(421, headers=b"Instance-Id: other\r\n")
+        request_id = values[b"request-id"][0]
+        self.seen.append(request)
+        self.ran[request_id.decode()] += 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await asyncio.sleep(self.work_s)
+            other = self.answer(request)
+            if other is not None:
+                return other
+            headers = b"Request-Id: %b\r\nServer-Stamp: %b\r\n" % (request_id, self.id.encode())
+            return Reply(200, b"from " + self.id.encode(), headers)
+        finally:
+            self.running -= 1
+
+
+class Member(NamedTuple):
+    cfg: MeshSettings
+    node: MeshNode
+    upstream: FakeUpstream
+    task: asyncio.Task[None]
+
+
+class FleetInMemory:
+    """Run nodes and their upstreams beside a store."""
+
+    def __init__(self) -> None:
+        self.store = PlatformStore()
+        self.members: dict[int, Member] = {}
+        self.network = asyncio.get_running_loop().network  # type: ignore[attr-defined]
+
+    async def start(self, *settings: MeshSettings, config: dict[str, Any] | None = None) -> None:
+        RUNNING_AS.set(STORE.split(":")[0])
+        await self.store.start(STORE)
+        self.store.put("keyed.op", "config", config or make_config())
+        for cfg in settings:
+            await self.add(cfg)
+        await asyncio.sleep(3.0)
+
+    async def add(
+        self, cfg: MeshSettings, *, version: str = "v1", upstream: FakeUpstream | None = None
+    ) -> Member:
+        RUNNING_AS.set(cfg.peer_address.split(":")[0])
+        store = StoreClient(cfg.store_address)
+        node = MeshNode(cfg, records=PlatformRecords(store), store=store)
+        task = asyncio.get_running_loop().create_task(node.run())
+        if upstream is None:
+            upstream = FakeUpstream(cfg, version=version)
+            await upstream.start()
+        member = Member(cfg, node, upstream, task)
+        self.members[int(cfg.node.split("-")[1])] = member
+        return member
+
+    def kill(self, number: int) -> Member:
+        """Let a node's process vanish; its upstream lives on."""
+        member = self.members.pop(number)
+        member.task.cancel()
+        member.node.kill()
+        host = member.cfg.peer_address.split(":")[0]
+        listeners = self.network.listeners
+        upstream = listeners.get(member.cfg.upstream_address)
+        self.network.remove(host)
+        if upstream is not None:
+            listeners[member.cfg.upstream_address] = upstream
+        return member
+
+
+class Sender:
+    """Send requests with ids of their own."""
+
+    def __init__(self) -> None:
+        self.number = 0
+
+    async def __call__(
+        self,
+        cfg: MeshSettings,
+        path: str = "/check/1",
+        *,
+        method: str = "GET",
+        deadline_ms: int = 1000,
+        body: bytes = b"",
+        headers: str = "",
+    ) -> Response:
+        self.number += 1
+        extra = f"Request-Id: r{self.number}\r\nDeadline-Ms: {deadline_ms}\r\n{headers}"
+        return await send(cfg.caller_address, method, path, body, headers=extra)
+
+
+async def send(
+    address: str, method: str, path: str, body: bytes = b"", *, headers: str = ""
+) -> Response:
+    """Send one request on a new connection and read the answer."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = f"{method} {path} HTTP/1.1\r\nHost: plots.example\r\n{headers}"
+    writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+    try:
+        return await read_response(reader, method)
+    finally:
+        writer.transport.close()
+
+
+async def read_response(reader: asyncio.StreamReader, method: str) -> Response:
+    start = parse_answer(await reader.readuntil(b"\r\n\r\n"), method=method, dropped=NO_HEADERS)
+    decoder, buffer, pieces = BodyDecoder(start.length), bytearray(), []
+    while not decoder.done:
+        data = await reader.read(65536)
+        if not data:
+            raise EOFError
+        buffer += data
+        pieces.append(decoder.take(buffer))
+    return Response(start.status, start.values, b"".join(pieces))
--- /dev/null
+++ b/tests/test_mesh/test_fleet.py
@@ -0,0 +1,389 @@
+from __future__ import annotations
+
+import asyncio
+
+from balsamhead.mesh._server import Reply, Request
+from tests.test_mesh.builders import (
+    FleetInMemory,
+    Sender,
+    make_config,
+    make_route,
+    make_settings,
+    run_virtual,
+    send,
+)
+
+ONE, TWO, THREE = make_settings(1), make_settings(2), make_settings(3, service="registry")
+
+
+def test_request_is_answered_by_an_upstream_of_its_service() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, THREE)
+        response = await ask(THREE)
+        assert (response.status, response.body) == (200, b"from i-node-1")
+        seen = fleet.members[1].upstream.seen[0].start
+        assert seen.values[b"caller-service"] == [b"registry"]
+        assert int(seen.values[b"deadline-ms"][0]) <= 1000
+        assert response.headers[b"server-stamp"] == [b"i-node-1"]
+
+    run_virtual(main)
+
+
+def test_caller_service_of_the_caller_is_replaced() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE)
+        await ask(ONE, headers="Caller-Service: forged\r\n")
+        seen = fleet.members[1].upstream.seen[0].start
+        assert seen.values[b"caller-service"] == [b"desk"]
+
+    run_virtual(main)
+
+
+def test_path_without_route_is_not_found() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE)
+        assert (await ask(ONE, "/nowhere/1")).status == 404
+
+    run_virtual(main)
+
+
+def test_node_without_configuration_says_not_run_and_is_not_ready() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        fleet.store.faults.status = 503
+        await fleet.start(ONE)
+        response = await ask(ONE)
+        assert response.status == 503
+        assert b"retry-after" in response.headers
+        assert (await send(ONE.ready_address, "GET", "/")).status == 503
+
+    run_virtual(main)
+
+
+def test_upstream_never_gets_more_than_its_slots() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO)
+        await asyncio.gather(*(ask(cfg) for cfg in (ONE, TWO) for _ in range(40)))
+        for member in fleet.members.values():
+            assert member.upstream.most_running <= member.upstream.slots
+
+    run_virtual(main)
+
+
+def test_excess_is_refused_early_with_a_time_to_come_back() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+
+        async def ask_and_time() -> tuple[int, float]:
+            response = await ask(ONE)
+            return response.status, loop.time() - began
+
+        rows = await asyncio.gather(*(ask_and_time() for _ in range(100)))
+        refused = [took for status, took in rows if status == 503]
+        assert refused
+        assert {status for status, _ in rows} == {200, 503}
+        assert min(refused) < 0.02
+
+    run_virtual(main)
+
+
+def test_change_is_in_force_everywhere_at_once_and_by_few_reads() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        many = [make_settings(number) for number in range(1, 8)]
+        await fleet.start(*many)
+        before = len(fleet.store.calls)
+        fleet.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(0.1)
+        for cfg in many:
+            assert (await ask(cfg, "/new/1")).status == 200
+        assert len(fleet.store.calls) - before <= 4
+
+    run_virtual(main)
+
+
+def test_change_arrives_when_a_reader_is_killed() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(*(make_settings(number) for number in range(1, 6)))
+        readers = [number for number, member in fleet.members.items() if member.node._is_reader()]
+        for number in readers:
+            fleet.kill(number)
+        fleet.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(1.8)
+        for member in fleet.members.values():
+            assert (await ask(member.cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
+def test_node_that_the_store_turns_away_gets_changes_from_peers() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO, make_settings(4), make_settings(5))
+        readers = [m for m in fleet.members.values() if m.node._is_reader()]
+        fleet.store.faults.refused_hosts = {m.cfg.peer_address.split(":")[0] for m in readers}
+        await asyncio.sleep(4.0)
+        fleet.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(2.0)
+        for member in readers:
+            assert (await ask(member.cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
+def test_stale_answers_of_the_store_set_nobody_back() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO)
+        fleet.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(0.5)
+        fleet.store.faults.stale_records = 1
+        fleet.store.forget_history("keyed.op")
+        await asyncio.sleep(5.0)
+        for cfg in (ONE, TWO):
+            assert (await ask(cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
+def test_node_that_starts_while_the_store_is_away_is_found_by_its_peers() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO, THREE)
+        member = fleet.kill(3)
+        fleet.store.faults.silent = True
+        await asyncio.sleep(0.5)
+        await fleet.add(member.cfg, upstream=member.upstream)
+        await asyncio.sleep(2.0)
+        assert (await ask(THREE)).status == 200
+
+    run_virtual(main)
+
+
+def test_nothing_new_goes_to_an_upstream_that_drains() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO, THREE)
+        upstream = fleet.members[1].upstream
+        upstream.state = "draining"
+        assert (await upstream.announce()).status == 200
+        before = len(upstream.seen)
+        rows = await asyncio.gather(*(ask(cfg) for cfg in (ONE, TWO, THREE) for _ in range(4)))
+        assert [row.status for row in rows] == [200] * 12
+        assert len(upstream.seen) == before
+
+    run_virtual(main)
+
+
+def test_nothing_new_goes_to_an_upstream_that_left_without_draining() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO)
+        upstream = fleet.members[1].upstream
+        assert (await upstream.leave()).status == 200
+        before = len(upstream.seen)
+        # a heartbeat that was sent before may come later
+        upstream.sequence -= 1
+        await upstream.announce()
+        rows = await asyncio.gather(*(ask(cfg) for cfg in (ONE, TWO) for _ in range(2)))
+        assert [row.status for row in rows] == [200] * 4
+        assert len(upstream.seen) == before
+
+    run_virtual(main)
+
+
+def test_late_heartbeat_of_an_earlier_upstream_changes_nothing() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE)
+        upstream = fleet.members[1].upstream
+        upstream.id, upstream.born, upstream.sequence = "i-new", 2000, 0
+        await upstream.announce()
+        upstream.id, upstream.born, upstream.sequence = "i-node-1", 1000, 90
+        await upstream.announce()
+        upstream.id = "i-new"
+        assert (await ask(ONE)).status == 200
+
+    run_virtual(main)
+
+
+def test_malformed_heartbeat_names_nobody_and_harms_nobody() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE)
+        for body in (b"\xff", b"{}", b'{"service": 3}', b"[]"):
+            address = ONE.announce_address
+            assert (await send(address, "PUT", "/instances/i-foreign", body)).status == 400
+        assert (await ask(ONE)).status == 200
+
+    run_virtual(main)
+
+
+def test_request_that_runs_at_most_once_is_not_repeated_after_a_lost_answer() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO, THREE)
+        for number in (1, 2):
+            fleet.members[number].upstream.answer = lambda request: Reply(0, cut=True)
+        response = await ask(THREE, "/accept/1", method="POST", body=b"x" * 5000)
+        assert response.status == 502
+        ran = fleet.members[1].upstream.ran + fleet.members[2].upstream.ran
+        assert ran["r1"] == 1
+
+    run_virtual(main)
+
+
+def test_idempotent_request_is_repeated_elsewhere_after_a_lost_answer() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO, THREE)
+        fleet.members[1].upstream.answer = lambda request: Reply(0, cut=True)
+        rows = [await ask(THREE) for _ in range(6)]
+        assert [row.status for row in rows] == [200] * 6
+
+    run_virtual(main)
+
+
+def test_answer_that_is_cut_short_never_looks_complete() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE)
+
+        def cut_short(request: Request) -> Reply:
+            headers = (
+                b"Request-Id: %b\r\nServer-Stamp: s\r\n" % request.start.values[b"request-id"][0]
+            )
+            return Reply(200, b"half", headers, length=8)
+
+        fleet.members[1].upstream.answer = cut_short
+        response = await ask(ONE, "/accept/1", method="POST", deadline_ms=400)
+        assert response.status in (502, 504)
+
+    run_virtual(main)
+
+
+def test_answer_to_another_request_is_not_delivered() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE)
+        fleet.members[1].upstream.answer = lambda request: Reply(
+            200, b"wrong", b"Request-Id: another\r\nServer-Stamp: s\r\n"
+        )
+        response = await ask(ONE, "/accept/1", method="POST", deadline_ms=300)
+        assert response.status in (502, 504)
+        assert response.body == b""
+
+    run_virtual(main)
+
+
+def test_success_without_signature_is_no_success() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE)
+        fleet.members[1].upstream.answer = lambda request: Reply(
+            200, b"?", b"Request-Id: %b\r\n" % request.start.values[b"request-id"][0]
+        )
+        assert (await ask(ONE, "/accept/1", method="POST")).status == 502
+
+    run_virtual(main)
+
+
+def test_links_that_go_silent_are_replaced() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, THREE)
+        fleet.network.cut("10.0.0.3", silent=True)
+        await asyncio.sleep(2.5)
+        assert (await ask(THREE)).status == 200
+
+    run_virtual(main)
+
+
+def test_stopping_node_cuts_nothing_and_gets_nothing_new() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO, THREE)
+        fleet.members[1].upstream.work_s = 0.6
+        running = [asyncio.ensure_future(ask(ONE)) for _ in range(3)]
+        await asyncio.sleep(0.05)
+        fleet.members[1].node.stop()
+        assert (await send(ONE.ready_address, "GET", "/")).status == 503
+        await asyncio.sleep(0.02)
+        before = len(fleet.members[1].upstream.seen)
+        rows = await asyncio.gather(*(ask(cfg) for cfg in (ONE, THREE) for _ in range(4)))
+        assert [row.status for row in rows] == [200] * 8
+        assert len(fleet.members[1].upstream.seen) == before
+        assert [row.status for row in await asyncio.gather(*running)] == [200] * 3
+        await asyncio.wait_for(fleet.members[1].task, 6.0)
+
+    run_virtual(main)
+
+
+def test_all_nodes_are_back_soon_after_all_were_killed() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO, THREE)
+        members = [fleet.kill(number) for number in (1, 2, 3)]
+        await asyncio.sleep(1.0)
+        for member in members:
+            await fleet.add(member.cfg, upstream=member.upstream)
+        await asyncio.sleep(2.0)
+        for cfg in (ONE, TWO, THREE):
+            assert (await ask(cfg)).status == 200
+
+    run_virtual(main)
+
+
+def test_caller_that_leaves_ends_an_idempotent_request_at_the_upstream() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, THREE)
+        upstream = fleet.members[1].upstream
+        upstream.work_s = 5.0
+        task = asyncio.ensure_future(ask(THREE, deadline_ms=900))
+        await asyncio.sleep(0.1)
+        assert upstream.running == 1
+        task.cancel()
+        await asyncio.sleep(0.1)
+        assert upstream.running == 0
+
+    run_virtual(main)
+
+
+def test_request_is_not_held_past_its_routes_timeout() -> None:
+    async def main() -> None:
+        config = make_config(check=make_route(timeout="300ms"))
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, config=config)
+        fleet.members[1].upstream.work_s = 5.0
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        assert (await ask(ONE)).status == 504
+        assert loop.time() - began < 0.4
+
+    run_virtual(main)
+
+
+def test_long_answer_arrives_whole_over_a_link() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, THREE)
+        body = bytes(range(256)) * 8000
+
+        def answer(request: Request) -> Reply:
+            request_id = request.start.values[b"request-id"][0]
+            return Reply(200, body, b"Request-Id: %b\r\nServer-Stamp: s\r\n" % request_id)
+
+        fleet.members[1].upstream.answer = answer
+        response = await ask(THREE)
+        assert response.body == body
+
+    run_virtual(main)
