--- a/balsamhead/mesh/_spread.py
+++ b/balsamhead/mesh/_spread.py
@@ -112,7 +112,10 @@
     :raises MalformedMessageError: it can't be read.
     """
     try:
-        unpacked = zlib.decompressobj().decompress(data, _MAX_CHANGE_BYTES)
+        unpacker = zlib.decompressobj()
+        unpacked = unpacker.decompress(data, _MAX_CHANGE_BYTES)
+        if not unpacker.eof:
+            raise ValueError("cut short or too large")
         return msgspec.convert(cbor2.loads(unpacked), Change)
     except (zlib.error, cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as exc:
         raise MalformedMessageError(
--- a/standin/virtual.py
+++ b/standin/virtual.py
@@ -14,6 +14,8 @@
 
 #: time that bytes take from one end to the other, in s
 _DELAY_S: Final = 0.0005
+#: least time between two arrivals on a connection, in s
+_ORDER_S: Final = 1e-9
 
 #: host that the running task belongs to
 RUNNING_AS: ContextVar[str] = ContextVar("RUNNING_AS", default="127.0.0.1")
@@ -62,7 +64,7 @@
         self._closing = False
         self._lost = False
         self._paused: list[bytes] | None = None
-        self._ended = False
+        self._arrival = 0.0
         self.local, self.peer = local, peer
         self.other: MemoryTransport | None = None
         #: bytes vanish and nothing is said
@@ -85,7 +87,7 @@
         other = self.other
         if self._closing or other is None or self.silent or not data:
             return
-        self._loop.call_later(_DELAY_S, other.receive, bytes(data))
+        self._loop.call_at(self._next_arrival(), other.receive, bytes(data))
 
     def receive(self, data: bytes) -> None:
         """Take in bytes of the other end."""
@@ -134,7 +136,12 @@
         self._loop.call_soon(self._lose, None)
         other = self.other
         if other is not None and not self.silent:
-            self._loop.call_later(_DELAY_S, other.end_by_peer, exc)
+            self._loop.call_at(self._next_arrival(), other.end_by_peer, exc)
+
+    def _next_arrival(self) -> float:
+        """Return when what is sent now arrives, in the order in which it was sent."""
+        self._arrival = max(self._loop.time() + _DELAY_S, self._arrival + _ORDER_S)
+        return self._arrival
 
     def end_by_peer(self, exc: Exception | None) -> None:
         """Take in that the other end closed or reset."""
--- /dev/null
+++ b/tests/test_platform/test_messages.py
@@ -0,0 +1,127 @@
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from balsamhead.errors import MalformedMessageError
+from balsamhead.mesh.model import Phase, Rollout, RouteKind, UpstreamState
+from balsamhead.platform.messages import (
+    decode_config,
+    decode_heartbeat,
+    decode_order,
+    decode_rollout_status,
+    encode_rollout_status,
+    parse_duration,
+)
+from tests.test_mesh.builders import make_config, make_route
+
+HEARTBEAT = {
+    "service": "desk",
+    "address": "10.0.0.1:8000",
+    "zone": "east-a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_left": "1500ms",
+    "sequence": 4,
+    "born": 1000,
+}
+
+
+def encode(value: object) -> bytes:
+    return json.dumps(value).encode()
+
+
+@pytest.mark.parametrize(("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)])
+def test_duration_is_read_in_seconds(text: str, seconds: float) -> None:
+    assert parse_duration(text) == seconds
+
+
+@pytest.mark.parametrize("text", ["", "5", "5m", "-1s", "1 s", "sms"])
+def test_other_durations_are_refused(text: str) -> None:
+    with pytest.raises(ValueError, match="no time"):
+        parse_duration(text)
+
+
+def test_configuration_is_decoded_whole() -> None:
+    parts = [{"service": "desk", "weight": 90}, {"service": "registry", "weight": 10}]
+    split = make_route(kind="download", backends=parts)
+    del split["service"]
+    config = decode_config(encode(make_config(7, split=split)))
+    assert config.version == 7
+    assert config.routes["check"].kind is RouteKind.SAFE
+    assert config.routes["accept"].kind is RouteKind.ONCE
+    assert config.routes["split"].kind is RouteKind.BULK
+    assert [part.weight for part in config.routes["split"].parts] == [90, 10]
+    assert config.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"service": "unknown"}, {"service": ""}, {"kind": "odd"}, {"timeout": "soon"}, {"host": 3}],
+)
+def test_configuration_with_a_broken_route_is_refused(changes: dict[str, Any]) -> None:
+    with pytest.raises(MalformedMessageError):
+        decode_config(encode(make_config(1, check=make_route(**changes))))
+
+
+def test_configuration_that_is_cut_short_is_refused() -> None:
+    with pytest.raises(MalformedMessageError):
+        decode_config(encode(make_config())[:-10])
+
+
+def test_unknown_fields_are_ignored() -> None:
+    assert decode_heartbeat("i-1", encode({**HEARTBEAT, "new": [1]})).slots == 6
+
+
+def test_heartbeat_is_decoded() -> None:
+    record = decode_heartbeat("i-1", encode(HEARTBEAT))
+    assert (record.id, record.state, record.cold_s) == ("i-1", UpstreamState.READY, 1.5)
+    assert (record.born_ms, record.sequence) == (1000, 4)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "odd"},
+        {"slots": 0},
+        {"slots": "six"},
+        {"born": 1.5},
+        {"sequence": None},
+        {"service": 1},
+        {"cold_left": 3},
+    ],
+)
+def test_foreign_heartbeat_is_refused(changes: dict[str, Any]) -> None:
+    with pytest.raises(MalformedMessageError):
+        decode_heartbeat("i-1", encode({**HEARTBEAT, **changes}))
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"null", b"[1]", b'"x"'])
+def test_bytes_that_are_no_message_are_refused(data: bytes) -> None:
+    with pytest.raises(MalformedMessageError):
+        decode_heartbeat("i-1", data)
+    with pytest.raises(MalformedMessageError):
+        decode_config(data)
+    with pytest.raises(MalformedMessageError):
+        decode_order(data, offset=1)
+    with pytest.raises(MalformedMessageError):
+        decode_rollout_status("desk", data)
+
+
+def test_order_is_decoded_with_its_offset() -> None:
+    row = {"service": "desk", "target_version": "v2", "duration": "12s"}
+    order = decode_order(encode(row), offset=9)
+    assert (order.version, order.duration_s, order.offset) == ("v2", 12.0, 9)
+
+
+@pytest.mark.parametrize("phase", list(Phase))
+def test_rollout_status_survives_the_store(phase: Phase) -> None:
+    rollout = Rollout("desk", "v2", 9, phase, 3, 0.5, "errors")
+    key, value = encode_rollout_status(rollout)
+    assert key == "rollout/desk"
+    assert json.loads(value)["state"] == phase.value
+    found = decode_rollout_status("desk", value)
+    assert (found.version, found.order, found.phase) == ("v2", 9, phase)
--- /dev/null
+++ b/tests/test_platform/test_records.py
@@ -0,0 +1,185 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from balsamhead.errors import (
+    LogConflictError,
+    LogOutcomeUnknownError,
+    LogUnavailableError,
+)
+from balsamhead.mesh.model import NodeRecord, OperatorState, Phase, Rollout
+from balsamhead.platform.records import PlatformRecords
+from balsamhead.platform.store import StoreClient
+from standin.platform_store import PlatformStore
+from tests.test_mesh.builders import STORE, make_config, run_virtual
+
+NOTHING = OperatorState(-1, None, {})
+NODE = NodeRecord("node-1", 5, "10.0.0.1:8004", "east-a", "east", "desk")
+
+
+async def start_store() -> tuple[PlatformStore, StoreClient, PlatformRecords]:
+    store = PlatformStore()
+    await store.start(STORE)
+    client = StoreClient(STORE)
+    return store, client, PlatformRecords(client)
+
+
+def make_rollout(phase: Phase, *, order: int = 4) -> Rollout:
+    return Rollout("desk", "v2", order, phase, 0, 0.0)
+
+
+def test_operators_state_is_read_and_then_waited_for() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        store.put("keyed.op", "config", make_config(1))
+        state = await records.read_operator(NOTHING, wait_s=0.0)
+        assert state.config is not None
+        assert (state.config.version, state.offset) == (1, 1)
+        waiting = asyncio.ensure_future(records.read_operator(state, wait_s=20.0))
+        await asyncio.sleep(5.0)
+        assert not waiting.done()
+        store.put("keyed.op", "config", make_config(4))
+        state = await waiting
+        assert state.config is not None
+        assert (state.config.version, state.offset) == (4, 2)
+
+    run_virtual(main)
+
+
+def test_forgotten_history_is_replaced_by_the_newest() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        store.put("keyed.op", "config", make_config(1))
+        state = await records.read_operator(NOTHING, wait_s=0.0)
+        for version in (2, 3):
+            store.put("keyed.op", "config", make_config(version))
+        store.forget_history("keyed.op")
+        state = await records.read_operator(state, wait_s=1.0)
+        assert state.config is not None
+        assert (state.config.version, state.offset) == (3, 3)
+
+    run_virtual(main)
+
+
+def test_malformed_record_of_the_operator_leaves_the_state_as_it_was() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        store.put("keyed.op", "config", make_config(1))
+        state = await records.read_operator(NOTHING, wait_s=0.0)
+        store.put("keyed.op", "config", b"{cut")
+        store.put("keyed.op", "rollout/desk", b"\xff")
+        after = await records.read_operator(state, wait_s=1.0)
+        assert after.config == state.config
+        assert after.orders == {}
+        assert after.offset == 3
+
+    run_virtual(main)
+
+
+def test_orders_are_known_by_the_offset_of_their_record() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        store.put("keyed.op", "config", make_config(1))
+        row = {"service": "desk", "target_version": "v2", "duration": "12s"}
+        store.put("keyed.op", "rollout/desk", row)
+        state = await records.read_operator(NOTHING, wait_s=0.0)
+        assert state.orders["desk"].offset == 1
+
+    run_virtual(main)
+
+
+def test_nodes_are_listed_and_a_malformed_one_is_left_out() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        await records.write_node(NODE)
+        store.put("keyed.nodes", "foreign", b"\xffnothing")
+        assert await records.read_nodes() == [NODE]
+
+    run_virtual(main)
+
+
+def test_newest_is_read_page_by_page() -> None:
+    async def main() -> None:
+        _, _, records = await start_store()
+        nodes = [NODE._replace(name=f"node-{number:04}") for number in range(1203)]
+        for node in nodes:
+            await records.write_node(node)
+        assert await records.read_nodes() == nodes
+
+    run_virtual(main)
+
+
+def test_first_recorded_end_of_a_rollout_stays() -> None:
+    async def main() -> None:
+        store, client, records = await start_store()
+        other = PlatformRecords(client)
+        await records.record(make_rollout(Phase.RUNNING))
+        await other.record(make_rollout(Phase.ROLLED_BACK))
+        settled = None
+        for _ in range(3):
+            try:
+                settled = await records.record(make_rollout(Phase.COMPLETED))
+                break
+            except LogConflictError:
+                continue
+        assert settled is not None
+        assert settled.phase is Phase.ROLLED_BACK
+        assert store.read_newest("keyed.status")["rollout/desk"]["state"] == "rolled_back"
+
+    run_virtual(main)
+
+
+def test_newer_order_may_end_otherwise() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        await records.record(make_rollout(Phase.ROLLED_BACK, order=4))
+        await records.record(make_rollout(Phase.COMPLETED, order=9))
+        assert store.read_newest("keyed.status")["rollout/desk"]["state"] == "completed"
+
+    run_virtual(main)
+
+
+def test_refused_append_is_known_not_to_be_written() -> None:
+    async def main() -> None:
+        store, client, _ = await start_store()
+        for status in (429, 503, 507):
+            store.faults.status = status
+            with pytest.raises(LogUnavailableError):
+                await client.append_keyed("keyed.nodes", "a", b"1")
+        assert store.read_newest("keyed.nodes") == {}
+
+    run_virtual(main)
+
+
+def test_append_whose_answer_is_lost_is_unknown() -> None:
+    async def main() -> None:
+        store, client, _ = await start_store()
+        store.faults.lost_answers = 1
+        with pytest.raises(LogOutcomeUnknownError):
+            await client.append_keyed("keyed.nodes", "a", b"x")
+        assert store.read_newest("keyed.nodes") == {"a": b"x"}
+
+    run_virtual(main)
+
+
+def test_silent_store_is_given_up_within_its_time() -> None:
+    async def main() -> None:
+        store, client, _ = await start_store()
+        store.faults.silent = True
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with pytest.raises(LogUnavailableError):
+            await client.read("keyed.op", 0, wait_s=2.0)
+        assert loop.time() - began < 4.0
+
+    run_virtual(main)
+
+
+def test_store_that_cannot_be_reached_is_unavailable() -> None:
+    async def main() -> None:
+        with pytest.raises(LogUnavailableError):
+            await StoreClient("10.9.0.9:1").read_newest("keyed.op")
+
+    run_virtual(main)
