Look at few upstreams for a call; keep readers reading while they stop

Change: an index by service and version; near upstreams are scored, a few far ones only when those have no room. Heartbeats say that a node stops; it reads on until its end. Ruled out: the store (stable at the time) and the links (other requests passed). Test: test_change_arrives_while_all_readers_stop fails without the change.

--- a/balsamhead/mesh/_caller.py
+++ b/balsamhead/mesh/_caller.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from balsamhead.mesh._calls import Answer, Call, Lost, Outcome, Refused
-from balsamhead.mesh._choice import Candidate, choose, measure_distance
+from balsamhead.mesh._choice import Candidate, choose
 from balsamhead.mesh._routes import RouteTable, WeightedParts
 from balsamhead.mesh._server import Reply, Request
 from balsamhead.mesh.model import Config, Route, RouteKind
@@ -18,9 +18,9 @@
     import random
 
     from balsamhead.mesh._budget import RetryBudget
+    from balsamhead.mesh._directory import Directory
     from balsamhead.mesh._fleet import Fleet
     from balsamhead.mesh._metrics import MeshMetrics
-    from balsamhead.mesh._peers import Peer
     from balsamhead.mesh._settings import MeshSettings
     from balsamhead.mesh._shares import Shares
     from balsamhead.mesh._upstream import LocalUpstream
@@ -76,6 +76,7 @@
         local: LocalUpstream,
         budget: RetryBudget,
         shares: Shares,
+        directory: Directory,
         metrics: MeshMetrics,
         rng: random.Random,
     ) -> None:
@@ -84,6 +85,7 @@
         self._local = local
         self._budget = budget
         self._shares = shares
+        self._directory = directory
         self._metrics = metrics
         self._rng = rng
         self._loop = asyncio.get_running_loop()
@@ -192,11 +194,11 @@
         ends_at: float,
     ) -> Candidate | Refused:
         now = self._loop.time()
-        rows = self._list_candidates(service, now)
-        if not rows:
+        versions = self._directory.list_versions(service, now)
+        if not versions:
             return Refused("no-upstream")
-        rows = [row for row in rows if row.node not in excluded]
-        rows = self._shares.select(service, rows)
+        chosen = self._shares.select(service, versions)
+        rows = self._directory.list_candidates(service, chosen, excluded, now)
         size = self._sizes.get(route.name)
         if size is None:
             size = _FIRST_BULK_SIZE if route.kind is RouteKind.BULK else _FIRST_SIZE
@@ -210,65 +212,6 @@
             return Refused("upstreams-busy", min(found.wait_ms / 1000, left_ms / 3000))
         return found.candidate
 
-    def _list_candidates(self, service: str, now: float) -> list[Candidate]:
-        cfg = self._cfg
-        rows = []
-        if cfg.service == service and self._local.accepts():
-            record = self._local.record
-            assert record is not None
-            load = self._local.get_load()
-            rows.append(
-                Candidate(
-                    node=cfg.node,
-                    version=record.version,
-                    slots=record.slots,
-                    busy=load.running + load.waiting,
-                    service_ms=load.service_ms,
-                    cold=self._local.is_cold(),
-                    distance=measure_distance(
-                        own=True,
-                        data_centre=cfg.data_centre,
-                        region=cfg.region,
-                        to_data_centre=cfg.data_centre,
-                        to_region=cfg.region,
-                    ),
-                )
-            )
-        for peer in self._fleet.table.peers.values():
-            if peer.record.service == service and self._is_open(peer, now):
-                rows.append(self._make_candidate(peer, now))
-        return rows
-
-    def _is_open(self, peer: Peer, now: float) -> bool:
-        view = peer.upstream
-        return (
-            view is not None
-            and view.accepts
-            and not peer.stopping
-            and now >= peer.paused_until
-            and peer.is_live(now, self._fleet.get_silence(peer))
-        )
-
-    def _make_candidate(self, peer: Peer, now: float) -> Candidate:
-        view = peer.upstream
-        assert view is not None
-        record = peer.record
-        return Candidate(
-            node=record.name,
-            version=view.version,
-            slots=view.slots,
-            busy=peer.estimate_busy(now),
-            service_ms=peer.load.service_ms or self._local.service_ms,
-            cold=view.cold,
-            distance=measure_distance(
-                own=False,
-                data_centre=self._cfg.data_centre,
-                region=self._cfg.region,
-                to_data_centre=record.data_centre,
-                to_region=record.region,
-            ),
-        )
-
     async def _send(
         self,
         request: Request,
--- a/balsamhead/mesh/_choice.py
+++ b/balsamhead/mesh/_choice.py
@@ -10,7 +10,7 @@
     import random
     from collections.abc import Iterable
 
-__all__ = ("Candidate", "Distance", "choose", "measure_distance")
+__all__ = ("Candidate", "Distance", "choose")
 
 #: what a kB over the border of a data centre costs, as a wait in ms
 _ZONE_MS_PER_KB: Final = 10.0
@@ -57,13 +57,6 @@
     wait_ms: float
 
 
-def measure_distance(
-    *, own: bool, data_centre: str, region: str, to_data_centre: str, to_region: str
-) -> Distance:
-    """Return the distance between two places."""
-    return Distance(own, data_centre == to_data_centre, region == to_region)
-
-
 def estimate_wait(candidate: Candidate) -> float:
     """Estimate the wait for a slot, in ms."""
     over = candidate.busy + 1 - candidate.slots
--- a/balsamhead/mesh/_fleet.py
+++ b/balsamhead/mesh/_fleet.py
@@ -24,7 +24,7 @@
 
 #: time between heartbeats within a data centre and over its border, in s
 _NEAR_BEAT_S: Final = 0.45
-_FAR_BEAT_S: Final = 0.8
+_FAR_BEAT_S: Final = 1.0
 #: silence after which a link gets no calls, and after which it is dropped, in heartbeats
 _SUSPECT_BEATS: Final = 1.8
 _SILENT_BEATS: Final = 3.0
@@ -84,6 +84,8 @@
         self._load_timer: asyncio.TimerHandle | None = None
         self._sent_load = Load(0, 0, 0.0)
         self.table = PeerTable(own)
+        #: grows when a peer appears, goes, or says that its upstream changed
+        self.epoch = 0
 
     async def start(self) -> None:
         """Listen for peers and begin the upkeep.
@@ -142,6 +144,7 @@
     def _prefer(self, peer: Peer, link: Link) -> None:
         """Use one of two links: the one that the node with the lesser name dialled."""
         known = self.get_link(peer)
+        self.epoch += 1
         if known is None or known is link or known.dialled == link.dialled:
             peer.link = link
             return
@@ -221,6 +224,7 @@
             logger.info("peer-unreachable", extra={"peer": peer.record.name, "error": repr(exc)})
         if peer.failed_dials > _MAX_FAILED_DIALS:
             del self.table.peers[peer.record.name]
+            self.epoch += 1
             logger.info("peer-forgotten", extra={"peer": peer.record.name})
 
     def _get_interval(self, peer: Peer) -> float:
@@ -255,6 +259,7 @@
         peer = self.table.peers.get(link.peer)
         if peer is not None and peer.link is link:
             peer.link = None
+            self.epoch += 1
             yields = 0.0 if self._own.name < link.peer else _YIELD_S
             peer.dial_at = self._loop.time() + yields + _FIRST_PAUSE_S * self._rng.random()
             logger.info("link-lost", extra={"peer": link.peer, "reason": reason})
@@ -274,6 +279,7 @@
                 peer.hear_load(decode_head(frame, Load, peer=link.peer), self._loop.time())
             case FrameKind.UPSTREAM:
                 peer.upstream = decode_head(frame, tuple[UpstreamView | None], peer=link.peer)[0]
+                self.epoch += 1
             case _:
                 try:
                     self._events.frame_received(peer, link, frame)
@@ -310,6 +316,7 @@
         peer.upstream = hello.upstream
         peer.offset = hello.offset
         peer.stopping = hello.stopping
+        self.epoch += 1
         peer.hear_load(hello.load, self._loop.time())
         self._events.peer_heard(peer, link)
 
@@ -317,6 +324,9 @@
         beat = decode_head(frame, Beat, peer=link.peer)
         peer.offset = beat.offset
         peer.store_failed = beat.store_failed
+        if peer.stopping != beat.stopping:
+            peer.stopping = beat.stopping
+            self.epoch += 1
         peer.steps = beat.steps
         peer.hear_load(beat.load, self._loop.time())
         if frame.kind == FrameKind.BEAT:
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -14,6 +14,7 @@
 from balsamhead.errors import LogError, MalformedMessageError, SettingsError
 from balsamhead.mesh._budget import RetryBudget
 from balsamhead.mesh._caller import CallerSide
+from balsamhead.mesh._directory import Directory
 from balsamhead.mesh._evidence import EvidenceRow, OutcomeCounts
 from balsamhead.mesh._fleet import Fleet, FleetEvents
 from balsamhead.mesh._frames import Frame, FrameKind, decode_head, encode_frame
@@ -113,6 +114,7 @@
             local=self._local,
             budget=self._budget,
             shares=self._shares,
+            directory=Directory(cfg, fleet=self._fleet, local=self._local, rng=rng),
             metrics=self._metrics,
             rng=rng,
         )
@@ -212,10 +214,11 @@
         logger.info("nodes-listed", extra={"nodes": len(nodes)})
 
     async def _read_operator(self) -> None:
-        while not self._stopping:
+        while True:
             if self._book.offset >= 0 and not self._is_reader():
                 await asyncio.sleep(_TICK_S)
                 continue
+            began, offset = self._loop.time(), self._book.offset
             try:
                 wait_s = _READ_WAIT_S if self._book.offset >= 0 else 0.0
                 state = await self._records.read_operator(self._book.state, wait_s=wait_s)
@@ -232,9 +235,16 @@
                 await asyncio.sleep(_STORE_PAUSE_S)
                 continue
             self._advance(state, source="store")
+            if state.offset <= offset and self._loop.time() - began < _READ_WAIT_S / 2:
+                # a store that lags behind answers an early read at once
+                await asyncio.sleep(_STORE_PAUSE_S)
 
     def _is_reader(self) -> bool:
-        names = [peer.record.name for peer in self._fleet.list_live() if not peer.store_failed]
+        names = [
+            peer.record.name
+            for peer in self._fleet.list_live()
+            if not peer.store_failed and not peer.stopping
+        ]
         ranked = rank_nodes([*names, self._own.name], "readers")
         return self._own.name in ranked[:_READERS]
 
@@ -394,7 +404,11 @@
     def make_beat(self) -> Beat:
         """Return what a heartbeat says."""
         return Beat(
-            self._book.offset, self._local.get_load(), self._store_failed, self._shares.steps
+            self._book.offset,
+            self._local.get_load(),
+            self._store_failed,
+            self._shares.steps,
+            self._stopping,
         )
 
     async def _run_call(self, call: Call, body: bytes) -> Outcome:
--- a/balsamhead/mesh/_peers.py
+++ b/balsamhead/mesh/_peers.py
@@ -53,6 +53,7 @@
     store_failed: bool
     #: sum over the rollouts of their steps, to notice one that was missed
     steps: int
+    stopping: bool = False
 
 
 class Peer:
--- a/balsamhead/mesh/_shares.py
+++ b/balsamhead/mesh/_shares.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from balsamhead.mesh.model import Phase, Rollout
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from balsamhead.mesh._choice import Candidate
+    from collections.abc import Collection, Mapping
 
 __all__ = ("Shares",)
 
@@ -43,13 +40,16 @@
         self.rollouts[rollout.service] = rollout
         return True
 
-    def select(self, service: str, rows: list[Candidate]) -> list[Candidate]:
-        """Return the candidates of the version that the next call goes to."""
+    def select(self, service: str, versions: Mapping[str, int]) -> Collection[str]:
+        """Return the versions that the next call of a service may go to.
+
+        :param versions: how many upstreams of each version take work.
+        """
         rollout = self.rollouts.get(service)
         if rollout is None:
-            return _keep_usual(rows)
-        new = [row for row in rows if row.version == rollout.version]
-        old = [row for row in rows if row.version != rollout.version]
+            return _keep_usual(versions)
+        new = [version for version in versions if version == rollout.version]
+        old = [version for version in versions if version != rollout.version]
         match rollout.phase:
             case Phase.ROLLED_BACK:
                 return old
@@ -58,9 +58,7 @@
             case _:
                 return self._deal(service, rollout.share, new, old)
 
-    def _deal(
-        self, service: str, share: float, new: list[Candidate], old: list[Candidate]
-    ) -> list[Candidate]:
+    def _deal(self, service: str, share: float, new: list[str], old: list[str]) -> list[str]:
         if share >= 1.0:
             return new or old
         if not new or not old or share <= 0.0:
@@ -76,12 +74,9 @@
     return (rollout.order, rank, rollout.step)
 
 
-def _keep_usual(rows: Iterable[Candidate]) -> list[Candidate]:
-    """Return the rows of the version that most have; one that nobody ordered gets no calls."""
-    listed = list(rows)
-    versions = Counter(row.version for row in listed)
+def _keep_usual(versions: Mapping[str, int]) -> Collection[str]:
+    """Return the version that most have; one that nobody ordered gets no calls."""
     if len(versions) < 2:
-        return listed
+        return versions.keys()
     # of equally many, the one that sorts first is the older one
-    usual = min(versions, key=lambda version: (-versions[version], version))
-    return [row for row in listed if row.version == usual]
+    return [min(versions, key=lambda version: (-versions[version], version))]
--- a/tests/test_mesh/test_fleet.py
+++ b/tests/test_mesh/test_fleet.py
@@ -124,6 +124,22 @@
     run_virtual(main)
 
 
+def test_change_arrives_while_all_readers_stop() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(*(make_settings(number) for number in range(1, 6)))
+        for member in list(fleet.members.values()):
+            if member.node._is_reader():
+                member.node.stop()
+        await asyncio.sleep(0.5)
+        fleet.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(1.5)
+        for member in fleet.members.values():
+            assert (await ask(member.cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
 def test_node_that_the_store_turns_away_gets_changes_from_peers() -> None:
     async def main() -> None:
         fleet, ask = FleetInMemory(), Sender()
--- a/tests/test_mesh/test_shares.py
+++ b/tests/test_mesh/test_shares.py
@@ -3,24 +3,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from balsamhead.mesh._choice import Candidate, Distance
 from balsamhead.mesh._shares import Shares
 from balsamhead.mesh.model import Phase, Rollout
 
-
-def make_row(node: str, version: str) -> Candidate:
-    return Candidate(node, version, 4, 0.0, 50.0, False, Distance(False, True, True))
-
-
-ROWS = [make_row("a", "v1"), make_row("b", "v1"), make_row("c", "v2")]
+ROWS = {"v1": 2, "v2": 1}
 
 
 def make_rollout(phase: Phase, *, order: int = 1, step: int = 0, share: float = 0.0) -> Rollout:
     return Rollout("desk", "v2", order, phase, step, share)
 
 
-def select_versions(shares: Shares, rows: list[Candidate], calls: int) -> list[str]:
-    return [shares.select("desk", rows)[0].version for _ in range(calls)]
+def select_versions(shares: Shares, rows: dict[str, int], calls: int) -> list[str]:
+    return [next(iter(shares.select("desk", rows))) for _ in range(calls)]
 
 
 def test_version_that_nobody_ordered_gets_nothing() -> None:
@@ -45,14 +39,14 @@
     shares = Shares()
     shares.merge(make_rollout(Phase.ROLLED_BACK))
     assert set(select_versions(shares, ROWS, 10)) == {"v1"}
-    assert shares.select("desk", ROWS[2:]) == []
+    assert shares.select("desk", {"v2": 1}) == []
 
 
 def test_completed_version_is_preferred() -> None:
     shares = Shares()
     shares.merge(make_rollout(Phase.COMPLETED))
     assert set(select_versions(shares, ROWS, 10)) == {"v2"}
-    assert shares.select("desk", ROWS[:2]) == ROWS[:2]
+    assert shares.select("desk", {"v1": 2}) == ["v1"]
 
 
 rollouts = st.builds(
