Judge a new version on reports of both versions; keep untried and taken-back versions out

A version that was taken back, or whose trial another order ended, counted as old for the next order and got calls again. Change: reports are kept until both versions are in them; periods without old calls prove nothing; withdrawn versions stay out until they are ordered anew; the plan reaches the full share at 0.57 of the time, so that a good version is done before the next order comes.

--- a/balsamhead/mesh/_evidence.py
+++ b/balsamhead/mesh/_evidence.py
@@ -26,6 +26,8 @@
 _FALSE_POSITIVE_RATE: Final = 0.0005
 #: time over which the prior of a later fault is spread, in s
 _SPREAD_S: Final = 20.0
+#: periods for which one-sided reports are kept
+_MAX_PERIODS: Final = 4
 #: failed calls of a version below which it isn't taken back
 _MIN_FAILURES: Final = 4
 
@@ -87,9 +89,28 @@
         self._version = version
         self._routes: dict[str, _RouteTest] = {}
         self._now = now
+        self._pending: list[EvidenceRow] = []
+        self._periods = 0
         #: calls of the version so far
         self.calls = 0
 
+    def collect(self, rows: Iterable[EvidenceRow]) -> None:
+        """Keep what one node reports until the period ends."""
+        self._pending += rows
+
+    def end_period(self, now: float) -> None:
+        """Take in what all nodes reported, once it holds calls of both versions.
+
+        Each node reports its own upstream, so that one report never holds both.
+        """
+        self._periods += 1
+        versions = {row.version for row in self._pending}
+        one_sided = len(versions) < 2 and self._periods < _MAX_PERIODS
+        if one_sided or not self._pending:
+            return
+        rows, self._pending, self._periods = self._pending, [], 0
+        self.add(rows, now=now)
+
     def add(self, rows: Iterable[EvidenceRow], *, now: float) -> None:
         """Take in the calls of a period."""
         by_route: dict[str, list[EvidenceRow]] = {}
@@ -119,8 +140,8 @@
         self.calls += new_calls
         new_failures = sum(row.failures for row in new)
         test.new_failures += new_failures
-        if new_calls:
-            share = new_calls / (new_calls + max(1, old_calls))
+        if new_calls and old_calls:
+            share = new_calls / (new_calls + old_calls)
             failed = Increment(share, new_failures, sum(row.failures for row in old))
             test.failures.add([failed], now=now)
         self._add_times(test, new, old, now)
@@ -137,8 +158,8 @@
         new_timed, new_slow = _count_slow(new, bound)
         old_timed, old_slow = _count_slow(old, bound)
         test.new_slow += new_slow
-        if new_timed:
-            share = new_timed / (new_timed + max(1, old_timed))
+        if new_timed and old_timed:
+            share = new_timed / (new_timed + old_timed)
             test.slowness.add([Increment(share, new_slow, old_slow)], now=now)
 
 
--- a/balsamhead/mesh/_rollouts.py
+++ b/balsamhead/mesh/_rollouts.py
@@ -30,11 +30,11 @@
 #: the shares of a new version over a rollout's time
 _PLAN: Final = (
     _Step(0.0, 0.04),
-    _Step(0.28, 0.1),
-    _Step(0.45, 0.25),
-    _Step(0.56, 0.5),
-    _Step(0.66, 0.9),
-    _Step(0.78, 1.0),
+    _Step(0.22, 0.1),
+    _Step(0.32, 0.25),
+    _Step(0.4, 0.5),
+    _Step(0.48, 0.9),
+    _Step(0.57, 1.0),
 )
 #: calls of the version that each step needs before the next one
 _MIN_CALLS: Final = 12
@@ -99,7 +99,7 @@
         rollout = self._shares.rollouts.get(service)
         if rollout is None or rollout.phase is not Phase.RUNNING:
             return
-        self._get_test(rollout).add(rows, now=self._loop.time())
+        self._get_test(rollout).collect(rows)
 
     def decide(self, order: Order, view: RolloutView) -> None:
         """Take the next step of a rollout, if it is due."""
@@ -112,6 +112,7 @@
         if rollout.phase is not Phase.RUNNING:
             return
         test = self._get_test(rollout)
+        test.end_period(now)
         fault = test.find_fault()
         if fault:
             self._take_back(rollout, fault)
--- a/balsamhead/mesh/_shares.py
+++ b/balsamhead/mesh/_shares.py
@@ -20,6 +20,8 @@
     def __init__(self) -> None:
         self.rollouts: dict[str, Rollout] = {}
         self._owed: dict[str, float] = {}
+        #: versions that get nothing, by service, with the order under which that was decided
+        self._withdrawn: dict[str, dict[str, int]] = {}
 
     @property
     def steps(self) -> int:
@@ -37,9 +39,26 @@
         known = self.rollouts.get(rollout.service)
         if known is not None and _weigh(known) >= _weigh(rollout):
             return False
+        if known is not None and known.order < rollout.order and known.phase is Phase.RUNNING:
+            # what was under trial stays untried when another order comes first
+            self._withdraw(known)
+        if rollout.phase is Phase.ROLLED_BACK:
+            self._withdraw(rollout)
         self.rollouts[rollout.service] = rollout
         return True
 
+    def _withdraw(self, rollout: Rollout) -> None:
+        versions = self._withdrawn.setdefault(rollout.service, {})
+        versions[rollout.version] = max(rollout.order, versions.get(rollout.version, -1))
+
+    def _is_withdrawn(self, service: str, version: str) -> bool:
+        order = self._withdrawn.get(service, {}).get(version)
+        if order is None:
+            return False
+        rollout = self.rollouts.get(service)
+        ordered_anew = rollout is not None and rollout.version == version and rollout.order > order
+        return not ordered_anew
+
     def select(self, service: str, versions: Mapping[str, int]) -> Collection[str]:
         """Return the versions that the next call of a service may go to.
 
@@ -49,7 +68,11 @@
         if rollout is None:
             return _keep_usual(versions)
         new = [version for version in versions if version == rollout.version]
-        old = [version for version in versions if version != rollout.version]
+        old = [
+            version
+            for version in versions
+            if version != rollout.version and not self._is_withdrawn(service, version)
+        ]
         match rollout.phase:
             case Phase.ROLLED_BACK:
                 return old
--- a/tests/test_mesh/test_shares.py
+++ b/tests/test_mesh/test_shares.py
@@ -84,3 +84,26 @@
     if rows:
         first, second = one.rollouts["desk"], other.rollouts["desk"]
         assert (first.order, first.phase, first.step) == (second.order, second.phase, second.step)
+
+
+def test_version_that_was_taken_back_stays_out_when_another_is_ordered() -> None:
+    shares = Shares()
+    shares.merge(make_rollout(Phase.ROLLED_BACK, order=1))
+    shares.merge(Rollout("desk", "v3", 2, Phase.RUNNING, 0, 0.1))
+    rows = {"v1": 2, "v2": 2, "v3": 2}
+    assert set(select_versions(shares, rows, 40)) == {"v1", "v3"}
+
+
+def test_version_under_trial_gets_nothing_when_another_is_ordered() -> None:
+    shares = Shares()
+    shares.merge(make_rollout(Phase.RUNNING, order=1, share=0.5))
+    shares.merge(Rollout("desk", "v3", 2, Phase.RUNNING, 0, 0.1))
+    rows = {"v1": 2, "v2": 2, "v3": 2}
+    assert set(select_versions(shares, rows, 40)) == {"v1", "v3"}
+
+
+def test_version_that_was_taken_back_may_be_ordered_anew() -> None:
+    shares = Shares()
+    shares.merge(make_rollout(Phase.ROLLED_BACK, order=1))
+    shares.merge(make_rollout(Phase.RUNNING, order=2, share=1.0))
+    assert set(select_versions(shares, {"v1": 2, "v2": 2}, 10)) == {"v2"}
