--- a/balsamhead/mesh/_caller.py
+++ b/balsamhead/mesh/_caller.py
@@ -44,6 +44,8 @@
 _RETRY_AFTER_S: Final = 0.1
 #: how long a peer that could not reach its upstream gets no calls, in s
 _PAUSE_S: Final = 0.3
+#: of how many requests with an answer one is logged
+_LOG_ONE_IN: Final = 200
 #: part of the deadline in which a wait is accepted that passes the objective
 _PATIENCE: Final = 0.5
 #: part of its objective that a request is assumed to run at most
@@ -94,6 +96,7 @@
         self._parts = WeightedParts()
         self._sizes: dict[str, float] = {}
         self._table: RouteTable | None = None
+        self._answered = 0
 
     def set_config(self, config: Config) -> None:
         """Put a configuration in force."""
@@ -143,7 +146,7 @@
             outcome = await self._send(request, route, service, found, ends_at, trace)
             if isinstance(outcome, Answer):
                 if not self._may_better(outcome, route, service, ends_at, trace):
-                    return self._deliver(request, route, outcome)
+                    return self._deliver(request, route, outcome, trace)
                 kept = outcome
                 excluded.add(found.node)
                 continue
@@ -158,7 +161,7 @@
             if not self._may_repeat(outcome, route, service, trace):
                 break
         if kept is not None:
-            return self._deliver(request, route, kept)
+            return self._deliver(request, route, kept, trace)
         if trace.maybe_run:
             return self._fail(trace, code, 504 if code == "deadline-passed" else 502)
         return self._refuse(trace, code, retry_after_s)
@@ -264,11 +267,23 @@
 
     # -- answers -----------------------------------------------------------------------------
 
-    def _deliver(self, request: Request, route: Route, answer: Answer) -> Reply:
+    def _deliver(self, request: Request, route: Route, answer: Answer, trace: _Trace) -> Reply:
         size = len(request.body) + max(answer.length, len(answer.body))
         known = self._sizes.get(route.name, float(size))
         self._sizes[route.name] = known + _SIZE_WEIGHT * (size - known)
         self._metrics.count("requests_answered", f"{answer.status // 100}xx")
+        self._answered += 1
+        if answer.status >= 500 or self._answered % _LOG_ONE_IN == 0:
+            logger.info(
+                "request-answered",
+                extra={
+                    "id": trace.request_id,
+                    "route": route.name,
+                    "status": answer.status,
+                    "tried": trace.tried,
+                    "took_ms": round((self._loop.time() - request.read_at) * 1000, 1),
+                },
+            )
         return Reply(
             status=answer.status,
             body=answer.body,
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -31,7 +31,7 @@
 from balsamhead.platform.messages import decode_heartbeat, encode_heartbeat_answer
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
-from balsamhead.util.logs import configure_logging
+from balsamhead.util.logs import configure_bounded_logging
 from balsamhead.util.loop import make_event_loop
 
 if TYPE_CHECKING:
@@ -507,7 +507,7 @@
     :raises SettingsError: the file has mistakes.
     """
     cfg = load_mesh_settings(path)
-    configure_logging(level=cfg.log_level, node=cfg.node)
+    configure_bounded_logging(level=cfg.log_level, node=cfg.node)
     with asyncio.Runner(loop_factory=make_event_loop) as runner:
         runner.run(_run(cfg, path))
     return 0
