--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -28,7 +28,11 @@
 from balsamhead.mesh._upstream import LocalUpstream
 from balsamhead.mesh.model import Limits, NodeRecord, OperatorState, Phase, Rollout
 from balsamhead.platform.headers import REQUEST_DROPPED
-from balsamhead.platform.messages import decode_heartbeat, encode_heartbeat_answer
+from balsamhead.platform.messages import (
+    decode_heartbeat,
+    encode_heartbeat_answer,
+    parse_announcement_path,
+)
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
 from balsamhead.util.logs import configure_bounded_logging
@@ -473,8 +477,8 @@
 
     async def _answer_announcement(self, request: Request) -> Reply:
         start = request.start
-        prefix, _, upstream_id = start.path.rpartition("/")
-        if prefix != "/instances" or not upstream_id:
+        upstream_id = parse_announcement_path(start.path)
+        if upstream_id is None:
             return Reply(404)
         if start.method == "DELETE":
             self._local.leave(upstream_id)
--- a/balsamhead/platform/messages.py
+++ b/balsamhead/platform/messages.py
@@ -30,6 +30,7 @@
     "decode_rollout_status",
     "encode_heartbeat_answer",
     "encode_rollout_status",
+    "parse_announcement_path",
     "parse_duration",
 )
 
@@ -38,6 +39,8 @@
 #: what stands before a service's name in the key of its rollout
 ROLLOUT_KEY_PREFIX: Final = "rollout/"
 
+#: path under which upstreams say that they live, drain or leave
+_ANNOUNCEMENT_PATH: Final = "/instances"
 _DURATION: Final = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 _KINDS: Final = {
     "safe": RouteKind.SAFE,
@@ -175,6 +178,12 @@
     )
 
 
+def parse_announcement_path(path: str) -> str | None:
+    """Return the id of the upstream that a path names, or None for another path."""
+    prefix, _, upstream_id = path.rpartition("/")
+    return upstream_id if prefix == _ANNOUNCEMENT_PATH and upstream_id else None
+
+
 def encode_heartbeat_answer() -> bytes:
     """Encode the acknowledgement of a heartbeat."""
     return b"{}"
--- /dev/null
+++ b/tests/test_util/test_heads.py
@@ -0,0 +1,101 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from balsamhead.util.heads import (
+    CHUNKED,
+    UNTIL_CLOSE,
+    BodyDecoder,
+    FramingError,
+    encode_chunk,
+    parse_answer,
+    parse_request,
+)
+
+DROPPED = frozenset((b"connection", b"x-own"))
+
+
+def parse(*lines: str, first: str = "GET /a/b?q=1 HTTP/1.1") -> bytes:
+    block = "\r\n".join((first, *lines, "", "")).encode()
+    return parse_request(block, dropped=DROPPED).forwarded
+
+
+def test_headers_of_one_connection_are_not_passed_on() -> None:
+    lines = ("Host: a", "X-Own: 1", "Connection: x-hop, close", "X-Hop: 2", "X-Kept: 3")
+    assert parse(*lines) == b"Host: a\r\nX-Kept: 3\r\n"
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ("Host: a", "Content-Length: +5"),
+        ("Host: a", "Content-Length: 5", "Content-Length: 5"),
+        ("Host: a", "Content-Length: 5", "Transfer-Encoding: chunked"),
+        ("Host: a", "Transfer-Encoding: gzip, chunked"),
+        ("Host: a", "Bad Name: x"),
+        ("Host: a", "Host: b"),
+        ("Host: a", "Folded: x\r\n y"),
+        (),
+    ],
+)
+def test_heads_that_could_be_read_in_two_ways_are_refused(lines: tuple[str, ...]) -> None:
+    with pytest.raises(FramingError):
+        parse(*lines)
+
+
+@pytest.mark.parametrize("target", ["/a/../b", "/a/%2e%2E/b", "/./a", "/a#b", "a/b"])
+def test_paths_that_name_another_path_are_refused(target: str) -> None:
+    with pytest.raises(FramingError):
+        parse("Host: a", first=f"GET {target} HTTP/1.1")
+
+
+def test_answer_without_length_ends_with_its_connection() -> None:
+    start = parse_answer(b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n", method="GET", dropped=DROPPED)
+    assert (start.length, start.keep_alive) == (UNTIL_CLOSE, False)
+
+
+def test_switch_of_protocols_is_refused() -> None:
+    with pytest.raises(FramingError):
+        parse_answer(b"HTTP/1.1 101 Switch\r\n\r\n", method="GET", dropped=DROPPED)
+
+
+def feed(decoder: BodyDecoder, data: bytes, cuts: list[int]) -> tuple[bytes, bytes]:
+    """Feed data in pieces and return the body and what was left."""
+    buffer, body, at = bytearray(), b"", 0
+    for cut in [*sorted(cut % (len(data) + 1) for cut in cuts), len(data)]:
+        buffer += data[at:cut]
+        at = cut
+        body += decoder.take(buffer)
+    return body, bytes(buffer)
+
+
+@given(st.lists(st.binary(min_size=1, max_size=300), max_size=6), st.lists(st.integers(0, 5000)))
+def test_chunks_are_joined_however_they_arrive(pieces: list[bytes], cuts: list[int]) -> None:
+    data = b"".join(encode_chunk(piece) for piece in pieces) + b"0\r\nTrailer: x\r\n\r\nNEXT"
+    decoder = BodyDecoder(CHUNKED)
+    body, left = feed(decoder, data, cuts)
+    assert (body, left, decoder.done) == (b"".join(pieces), b"NEXT", True)
+
+
+@given(st.binary(max_size=400), st.lists(st.integers(0, 500)))
+def test_counted_body_leaves_what_follows(data: bytes, cuts: list[int]) -> None:
+    decoder = BodyDecoder(len(data))
+    body, left = feed(decoder, data + b"NEXT", cuts)
+    assert (body, left, decoder.done) == (data, b"NEXT", True)
+
+
+@pytest.mark.parametrize("data", [b"x\r\n", b"5\nabcde", b"2\r\nabX", b"-1\r\n", b"0\r\nbad\r\n"])
+def test_malformed_chunks_are_refused(data: bytes) -> None:
+    with pytest.raises(FramingError):
+        BodyDecoder(CHUNKED).take(bytearray(data + b"\r\n\r\n"))
+
+
+def test_body_that_is_cut_is_not_whole() -> None:
+    decoder = BodyDecoder(10)
+    decoder.take(bytearray(b"12345"))
+    assert not decoder.finish()
+    decoder = BodyDecoder(UNTIL_CLOSE)
+    decoder.take(bytearray(b"12345"))
+    assert decoder.finish()
