--- a/balsamhead/mesh/_fleet.py
+++ b/balsamhead/mesh/_fleet.py
@@ -34,9 +34,9 @@
 _DIAL_TIMEOUT_S: Final = 0.6
 #: pause between attempts to reach a peer, in s; it doubles up to the longest
 _FIRST_PAUSE_S: Final = 0.15
-_LONGEST_PAUSE_S: Final = 1.2
+_LONGEST_PAUSE_S: Final = 4.0
 #: failed attempts after which a node that isn't heard any more is forgotten
-_MAX_FAILED_DIALS: Final = 200
+_MAX_FAILED_DIALS: Final = 40
 #: time between runs of the upkeep, in s
 _TICK_S: Final = 0.15
 #: time that the node with the greater name leaves the other to dial, in s
--- a/balsamhead/mesh/_link.py
+++ b/balsamhead/mesh/_link.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+import struct
 from typing import TYPE_CHECKING, Any, Final, NamedTuple, Protocol, cast
 
 from balsamhead.errors import MalformedMessageError
@@ -34,6 +35,8 @@
 _WINDOW_BYTES: Final = 256 << 10
 #: silence of a link's peer after which the kernel drops what it doesn't acknowledge, in ms
 _USER_TIMEOUT_MS: Final = 2000
+#: "linger" with no time: what was not delivered is discarded, and the peer sees a reset
+_RESET_AT_CLOSE: Final = struct.pack("ii", 1, 0)
 #: linux option that bounds the time without acknowledgement
 _TCP_USER_TIMEOUT: Final = 18
 
@@ -133,7 +136,7 @@
         self._transport = cast("asyncio.Transport", transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            _set_user_timeout(sock)
+            _set_option(sock, socket.IPPROTO_TCP, _TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
         self._handler.link_opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -181,6 +184,10 @@
         """Drop the link."""
         self._reason = self._reason or reason
         if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            if sock is not None:
+                # calls that are held up on the way must not arrive after they were given up
+                _set_option(sock, socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
             self._transport.abort()
 
     def send(self, kind: FrameKind, stream: int = 0, head: Any = None, body: bytes = b"") -> None:
@@ -411,9 +418,8 @@
         stream.future.set_result(outcome)
 
 
-def _set_user_timeout(sock: socket.socket) -> None:
+def _set_option(sock: socket.socket, level: int, option: int, value: int | bytes) -> None:
     try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, _TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+        sock.setsockopt(level, option, value)
     except OSError as exc:
         logger.warning("socket-option-refused", extra={"error": repr(exc)})
--- a/standin/virtual.py
+++ b/standin/virtual.py
@@ -67,6 +67,8 @@
         self._arrival = 0.0
         self.local, self.peer = local, peer
         self.other: MemoryTransport | None = None
+        #: bytes that a cut path holds back; a reset discards them
+        self.held: list[bytes] = []
         #: bytes vanish and nothing is said
         self.silent = False
 
@@ -87,6 +89,9 @@
         other = self.other
         if self._closing or other is None or self.silent or not data:
             return
+        if self._loop.network.is_held(self):
+            self.held.append(bytes(data))
+            return
         self._loop.call_at(self._next_arrival(), other.receive, bytes(data))
 
     def receive(self, data: bytes) -> None:
@@ -133,6 +138,7 @@
         if self._closing:
             return
         self._closing = True
+        self.held.clear()
         self._loop.call_soon(self._lose, None)
         other = self.other
         if other is not None and not self.silent:
@@ -175,6 +181,24 @@
         self.connections: list[MemoryTransport] = []
         #: addresses that don't answer at all
         self.dark: set[str] = set()
+        self.held_hosts: set[str] = set()
+
+    def hold(self, host: str) -> None:
+        """Hold back what a host and others send each other; the host reaches itself."""
+        self.held_hosts.add(host)
+
+    def release(self) -> None:
+        """Deliver what was held back."""
+        self.held_hosts.clear()
+        for transport in self.connections:
+            held, transport.held = transport.held, []
+            for data in held:
+                transport.write(data)
+
+    def is_held(self, transport: MemoryTransport) -> bool:
+        """Answer whether a connection's path is cut."""
+        ends = {transport.local.split(":")[0], transport.peer.split(":")[0]}
+        return len(ends) > 1 and bool(ends & self.held_hosts)
 
     def cut(self, host: str, *, silent: bool = False) -> None:
         """Reset, or silence for good, all connections of a host."""
@@ -229,7 +253,8 @@
         del options
         address = f"{host}:{port}"
         await asyncio.sleep(_DELAY_S)
-        while address in self.network.dark:
+        ends = {host, RUNNING_AS.get()}
+        while address in self.network.dark or (len(ends) > 1 and ends & self.network.held_hosts):
             await asyncio.sleep(1.0)
         accept = self.network.listeners.get(address)
         if accept is None:
--- a/tests/test_mesh/test_fleet.py
+++ b/tests/test_mesh/test_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from balsamhead.mesh._server import Reply, Request
+from standin.virtual import RUNNING_AS
 from tests.test_mesh.builders import (
     FleetInMemory,
     Sender,
@@ -436,3 +437,20 @@
         await asyncio.gather(*waiting)
 
     run_virtual(main)
+
+
+def test_call_that_was_held_up_does_not_run_after_it_was_given_up() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, THREE)
+        fleet.network.hold("10.0.0.3")
+        RUNNING_AS.set("10.0.0.3")
+        response = await ask(THREE, "/accept/1", method="POST", deadline_ms=800)
+        assert response.status in (502, 504)
+        await asyncio.sleep(3.0)
+        fleet.network.release()
+        await asyncio.sleep(2.0)
+        assert fleet.members[1].upstream.ran["r1"] == 0
+        assert (await ask(THREE)).status == 200
+
+    run_virtual(main)
