Refuse what a stopping node can't finish; raise ranks that starve

Change: from half of the stop's time on, new requests are refused as not run with a time to come back; a rank of which less than half as many are served as of the best served one goes first until it is served. Ruled out: aging of waiting requests (the test still starved: both ranks wait as long as they may).

--- a/balsamhead/mesh/_caller.py
+++ b/balsamhead/mesh/_caller.py
@@ -8,6 +8,7 @@
 
 from balsamhead.mesh._calls import Answer, Call, Lost, Outcome, Refused
 from balsamhead.mesh._choice import Candidate, choose
+from balsamhead.mesh._fairness import RankFairness
 from balsamhead.mesh._routes import RouteTable, WeightedParts
 from balsamhead.mesh._server import Reply, Request
 from balsamhead.mesh.model import Config, Route, RouteKind
@@ -42,12 +43,16 @@
 _OVERHEAD_BYTES: Final = 600.0
 #: time to come back that a refusal names, in s, when nothing better is known
 _RETRY_AFTER_S: Final = 0.1
+#: the same when the node stops, since another node can take the request at once
+_STOPPING_RETRY_S: Final = 0.02
 #: how long a peer that could not reach its upstream gets no calls, in s
 _PAUSE_S: Final = 0.3
+#: statuses of requests that were not served for want of room or time
+_UNSERVED: Final = (503, 504)
 #: of how many requests with an answer one is logged
 _LOG_ONE_IN: Final = 200
 #: part of the deadline in which a wait is accepted that passes the objective
-_PATIENCE: Final = 0.5
+_PATIENCE: Final = 0.4
 #: part of its objective that a request is assumed to run at most
 _RUN_PART: Final = 0.5
 #: part of the budget of repeats that answered failures may use, since their inner calls repeat too
@@ -97,6 +102,9 @@
         self._sizes: dict[str, float] = {}
         self._table: RouteTable | None = None
         self._answered = 0
+        self._fairness = RankFairness()
+        #: requests are refused, since the node ends before they would
+        self.stopping = False
 
     def set_config(self, config: Config) -> None:
         """Put a configuration in force."""
@@ -111,6 +119,8 @@
         trace = _Trace(fields.request_id)
         if self._table is None:
             return self._refuse(trace, "config-unknown", _RETRY_AFTER_S)
+        if self.stopping:
+            return self._refuse(trace, "node-stopping", _STOPPING_RETRY_S)
         route = self._table.find(request.start.host, request.start.path)
         if route is None:
             self._metrics.count("requests_unrouted")
@@ -122,10 +132,13 @@
         service = self._parts.deal(route)
         self._budget.count_request(service, self._loop.time())
         try:
+            ranked = route._replace(priority=self._fairness.get_rank(service, route.priority))
             async with asyncio.timeout_at(ends_at):
-                reply = await self._carry(request, route, service, ends_at, trace)
+                reply = await self._carry(request, ranked, service, ends_at, trace)
         except TimeoutError:
             reply = self._fail(trace, "deadline-passed", 504)
+        served = reply.status not in _UNSERVED
+        self._fairness.record(service, route.priority, served=served)
         self._metrics.observe(
             "request_seconds", self._loop.time() - request.read_at, route.kind.value
         )
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -62,6 +62,8 @@
 _SETTINGS_LOOK_S: Final = 2.0
 #: how long a stopping node goes on taking requests, in s
 _LINGER_S: Final = 2.4
+#: part of the stop's time after which requests are refused, so that those taken before can end
+_TAKING_PART: Final = 0.5
 #: time before the forced end at which a stopping node gives up, in s
 _STOP_MARGIN_S: Final = 0.5
 #: pause between looks at whether a stopping node is done, in s
@@ -193,7 +195,10 @@
         ends_at = began + self._cfg.stop_deadline - _STOP_MARGIN_S
         while self._loop.time() < ends_at:
             await asyncio.sleep(_STOP_POLL_S)
-            if self._loop.time() - began < _LINGER_S:
+            passed = self._loop.time() - began
+            if passed > self._cfg.stop_deadline * _TAKING_PART:
+                self._caller.stopping = True
+            if passed < _LINGER_S:
                 continue
             self._callers.close_idle()
             if not self._callers.count_busy() and not self._local.running:
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -32,7 +32,7 @@
 #: idle time from which a connection isn't trusted with a request that runs at most once, in s
 _TRUSTED_IDLE_S: Final = 1.0
 #: part of the deadline in which a wait is accepted that passes the objective
-_PATIENCE: Final = 0.5
+_PATIENCE: Final = 0.4
 #: part of its objective that a request is assumed to run at most
 _RUN_PART: Final = 0.5
 #: longest time to come back that a refusal names, in s
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -11,7 +11,7 @@
 
 #: modules of the mesh path, lowest first; each may import those before it
 LAYERS = (
-    ("_model", "_calls", "_metrics", "_budget", "_records", "_settings"),
+    ("_model", "_calls", "_metrics", "_budget", "_fairness", "_records", "_settings"),
     ("model",),
     ("_frames", "_routes", "_choice", "_shares", "_spread"),
     ("_server", "_exchange", "_link"),
--- a/tests/test_mesh/test_fleet.py
+++ b/tests/test_mesh/test_fleet.py
@@ -454,3 +454,55 @@
         assert (await ask(THREE)).status == 200
 
     run_virtual(main)
+
+
+def test_request_that_comes_late_in_a_stop_is_refused_and_none_is_cut() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO, THREE)
+        for number in (1, 2):
+            fleet.members[number].upstream.work_s = 0.7
+        fleet.members[3].node.stop()
+        statuses: list[int] = []
+
+        async def ask_one() -> None:
+            try:
+                response = await ask(THREE, "/accept/1", method="POST", deadline_ms=1500)
+            except ConnectionRefusedError:
+                return
+            statuses.append(response.status)
+            if response.status == 503:
+                assert response.headers[b"connection"] == [b"close"]
+
+        tasks = []
+        for _ in range(60):
+            tasks.append(asyncio.ensure_future(ask_one()))
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*tasks)
+        assert set(statuses) == {200, 503}
+        await asyncio.wait_for(fleet.members[3].task, 1.0)
+
+    run_virtual(main)
+
+
+def test_lower_rank_is_served_too_when_a_higher_one_takes_all_slots() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        urgent = make_route(path_prefix="/urgent/", priority=1, target_latency="100ms")
+        await fleet.start(ONE, THREE, config=make_config(urgent=urgent))
+        results: dict[str, list[int]] = {"/urgent/1": [], "/check/1": []}
+
+        async def press(path: str) -> None:
+            results[path].append((await ask(THREE, path)).status)
+
+        tasks = []
+        for number in range(300):
+            tasks.append(asyncio.ensure_future(press("/urgent/1")))
+            if number % 4 == 0:
+                tasks.append(asyncio.ensure_future(press("/check/1")))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*tasks)
+        for statuses in results.values():
+            assert statuses.count(200) > 0.3 * len(statuses)
+
+    run_virtual(main)
