--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -28,10 +28,14 @@
 from balsamhead.mesh._upstream import LocalUpstream
 from balsamhead.mesh.model import Limits, NodeRecord, OperatorState, Phase, Rollout
 from balsamhead.platform.headers import REQUEST_DROPPED
-from balsamhead.platform.messages import decode_heartbeat, encode_heartbeat_answer
+from balsamhead.platform.messages import (
+    decode_heartbeat,
+    encode_heartbeat_answer,
+    parse_announcement_path,
+)
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
-from balsamhead.util.logs import configure_logging
+from balsamhead.util.logs import configure_bounded_logging
 from balsamhead.util.loop import make_event_loop
 
 if TYPE_CHECKING:
@@ -58,6 +62,8 @@
 _SETTINGS_LOOK_S: Final = 2.0
 #: how long a stopping node goes on taking requests, in s
 _LINGER_S: Final = 2.4
+#: part of the stop's time after which requests are refused, so that those taken before can end
+_TAKING_PART: Final = 0.5
 #: time before the forced end at which a stopping node gives up, in s
 _STOP_MARGIN_S: Final = 0.5
 #: pause between looks at whether a stopping node is done, in s
@@ -189,7 +195,10 @@
         ends_at = began + self._cfg.stop_deadline - _STOP_MARGIN_S
         while self._loop.time() < ends_at:
             await asyncio.sleep(_STOP_POLL_S)
-            if self._loop.time() - began < _LINGER_S:
+            passed = self._loop.time() - began
+            if passed > self._cfg.stop_deadline * _TAKING_PART:
+                self._caller.stopping = True
+            if passed < _LINGER_S:
                 continue
             self._callers.close_idle()
             if not self._callers.count_busy() and not self._local.running:
@@ -473,8 +482,8 @@
 
     async def _answer_announcement(self, request: Request) -> Reply:
         start = request.start
-        prefix, _, upstream_id = start.path.rpartition("/")
-        if prefix != "/instances" or not upstream_id:
+        upstream_id = parse_announcement_path(start.path)
+        if upstream_id is None:
             return Reply(404)
         if start.method == "DELETE":
             self._local.leave(upstream_id)
@@ -507,7 +516,7 @@
     :raises SettingsError: the file has mistakes.
     """
     cfg = load_mesh_settings(path)
-    configure_logging(level=cfg.log_level, node=cfg.node)
+    configure_bounded_logging(level=cfg.log_level, node=cfg.node)
     with asyncio.Runner(loop_factory=make_event_loop) as runner:
         runner.run(_run(cfg, path))
     return 0
--- a/tests/test_mesh/test_fleet.py
+++ b/tests/test_mesh/test_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from balsamhead.mesh._server import Reply, Request
+from standin.virtual import RUNNING_AS
 from tests.test_mesh.builders import (
     FleetInMemory,
     Sender,
@@ -436,3 +437,72 @@
         await asyncio.gather(*waiting)
 
     run_virtual(main)
+
+
+def test_call_that_was_held_up_does_not_run_after_it_was_given_up() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, THREE)
+        fleet.network.hold("10.0.0.3")
+        RUNNING_AS.set("10.0.0.3")
+        response = await ask(THREE, "/accept/1", method="POST", deadline_ms=800)
+        assert response.status in (502, 504)
+        await asyncio.sleep(3.0)
+        fleet.network.release()
+        await asyncio.sleep(2.0)
+        assert fleet.members[1].upstream.ran["r1"] == 0
+        assert (await ask(THREE)).status == 200
+
+    run_virtual(main)
+
+
+def test_request_that_comes_late_in_a_stop_is_refused_and_none_is_cut() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, TWO, THREE)
+        for number in (1, 2):
+            fleet.members[number].upstream.work_s = 0.7
+        fleet.members[3].node.stop()
+        statuses: list[int] = []
+
+        async def ask_one() -> None:
+            try:
+                response = await ask(THREE, "/accept/1", method="POST", deadline_ms=1500)
+            except ConnectionRefusedError:
+                return
+            statuses.append(response.status)
+            if response.status == 503:
+                assert response.headers[b"connection"] == [b"close"]
+
+        tasks = []
+        for _ in range(60):
+            tasks.append(asyncio.ensure_future(ask_one()))
+            await asyncio.sleep(0.1)
+        await asyncio.gather(*tasks)
+        assert set(statuses) == {200, 503}
+        await asyncio.wait_for(fleet.members[3].task, 1.0)
+
+    run_virtual(main)
+
+
+def test_lower_rank_is_served_too_when_a_higher_one_takes_all_slots() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        urgent = make_route(path_prefix="/urgent/", priority=1, target_latency="100ms")
+        await fleet.start(ONE, THREE, config=make_config(urgent=urgent))
+        results: dict[str, list[int]] = {"/urgent/1": [], "/check/1": []}
+
+        async def press(path: str) -> None:
+            results[path].append((await ask(THREE, path)).status)
+
+        tasks = []
+        for number in range(300):
+            tasks.append(asyncio.ensure_future(press("/urgent/1")))
+            if number % 4 == 0:
+                tasks.append(asyncio.ensure_future(press("/check/1")))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*tasks)
+        for statuses in results.values():
+            assert statuses.count(200) > 0.3 * len(statuses)
+
+    run_virtual(main)
