Reload what a running node can change; list the command and its settings; one parser of durations

Cause: a reload changed nothing; two settings were read by nothing; durations were parsed in two places; the command line's help did not name the mesh node. Change: a reload puts the budget of repeats, the stop's time and the log's level in force and names what waits for the next start; the settings' page is checked against their table.

--- a/balsamhead/_cli/__init__.py
+++ b/balsamhead/_cli/__init__.py
@@ -24,10 +24,8 @@
     arguments = list(sys.argv[1:] if argv is None else argv)
     console = console or Console.from_process()
     # a daemon doesn't load the library of the command line, which takes 6.5 MB
-    if len(arguments) == 3 and arguments[:2] == ["node", "--settings"]:
-        return _run_node(arguments[2], console)
-    if arguments == ["mesh"]:
-        return _run_mesh_node(console)
+    if arguments == ["mesh"] or (len(arguments) == 3 and arguments[:2] == ["node", "--settings"]):
+        return _run_daemon(arguments, console)
     return _run_client(arguments, console)
 
 
@@ -45,27 +43,13 @@
         console.print_error_lines([f'did you mean "{nearest}"?'])
 
 
-def _run_node(path: str, console: Console) -> int:
+def _run_daemon(arguments: list[str], console: Console) -> int:
     from balsamhead._cli._exit import get_error_exit
-    from balsamhead._cli._node import run_node_command
+    from balsamhead._cli._node import run_mesh_command, run_node_command
     from balsamhead.errors import BalsamheadError
 
     try:
-        return run_node_command(path)
-    except BalsamheadError as exc:
-        console.print_error(exc, as_json=False)
-        return get_error_exit(exc)
-
-
-def _run_mesh_node(console: Console) -> int:
-    import os
-
-    from balsamhead._cli._exit import get_error_exit
-    from balsamhead.errors import BalsamheadError
-    from balsamhead.mesh.node import SETTINGS_VARIABLE, run_mesh_node
-
-    try:
-        return run_mesh_node(os.environ.get(SETTINGS_VARIABLE, ""))
+        return run_mesh_command() if arguments == ["mesh"] else run_node_command(arguments[2])
     except BalsamheadError as exc:
         console.print_error(exc, as_json=False)
         return get_error_exit(exc)
--- a/balsamhead/_cli/_commands.py
+++ b/balsamhead/_cli/_commands.py
@@ -10,6 +10,7 @@
 __all__ = (
     "Check",
     "Command",
+    "Mesh",
     "Node",
     "Program",
     "Promote",
@@ -62,6 +63,15 @@
     ]
 
 
+@cappa.command(
+    name="mesh",
+    help="Run a mesh node until it is told to stop; BALSAMHEAD_SETTINGS names its settings.",
+)
+@dataclass
+class Mesh:
+    """Options of ``mesh``: none; see docs/operators/mesh-settings.md."""
+
+
 @cappa.command(name="check", help="Check a document without publishing it.")
 @dataclass
 class Check:
@@ -171,7 +181,9 @@
     """Options of ``settings``."""
 
 
-Command = Node | Check | Publish | Promote | Status | Show | Watch | Report | Rollout | Settings
+Command = (
+    Node | Mesh | Check | Publish | Promote | Status | Show | Watch | Report | Rollout | Settings
+)
 
 
 @cappa.command(
--- a/balsamhead/_cli/_node.py
+++ b/balsamhead/_cli/_node.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ("run_node_command",)
+__all__ = ("run_mesh_command", "run_node_command")
 
 
 def run_node_command(path: str) -> int:
@@ -17,3 +17,15 @@
     from balsamhead.node import run_node
 
     return run_node(cfg)
+
+
+def run_mesh_command() -> int:
+    """Run a mesh node with the settings that the environment names and return the exit code.
+
+    :raises SettingsError: the file has mistakes.
+    """
+    import os
+
+    from balsamhead.mesh.node import SETTINGS_VARIABLE, run_mesh_node
+
+    return run_mesh_node(os.environ.get(SETTINGS_VARIABLE, ""))
--- a/balsamhead/_cli/_run.py
+++ b/balsamhead/_cli/_run.py
@@ -11,6 +11,7 @@
 from balsamhead._cli._commands import (
     Check,
     Command,
+    Mesh,
     Node,
     Promote,
     Publish,
@@ -64,6 +65,10 @@
             from balsamhead._cli._node import run_node_command
 
             return run_node_command(command.settings)
+        case Mesh():
+            from balsamhead._cli._node import run_mesh_command
+
+            return run_mesh_command()
         case Settings():
             console.print_lines([render_reference().rstrip()])
             return ExitCode.DONE
--- a/balsamhead/mesh/_budget.py
+++ b/balsamhead/mesh/_budget.py
@@ -17,14 +17,18 @@
     """Allow repeats by the requests of the last window, service by service."""
 
     def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
-        self._ratio = ratio * _RATIO_PART
-        self._slack = slack * _SLACK_PART
-        self._window_s = window_s
+        self.configure(ratio=ratio, slack=slack, window_s=window_s)
         self._requests: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
         #: nodes that share the slack
         self.nodes = 1
 
+    def configure(self, *, ratio: float, slack: float, window_s: float) -> None:
+        """Put the mesh's budget in force."""
+        self._ratio = ratio * _RATIO_PART
+        self._slack = slack * _SLACK_PART
+        self._window_s = window_s
+
     def count_request(self, service: str, now: float) -> None:
         """Take in a request for a service."""
         self._add(self._requests, service, now)
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -69,6 +69,14 @@
 #: pause between looks at whether a stopping node is done, in s
 _STOP_POLL_S: Final = 0.05
 
+#: settings that a running node takes over
+_RELOADED: Final = (
+    "retry_ratio",
+    "retry_slack",
+    "retry_window",
+    "stop_deadline",
+    "log_level",
+)
 _DEFAULT_LIMITS: Final = Limits(16_384, 64 << 20, 10.0, 60.0)
 
 
@@ -186,9 +194,17 @@
         self._fleet.stop()
 
     def reload(self, cfg: MeshSettings) -> None:
-        """Put changed settings in force; addresses stay until the next start."""
-        logger.info("settings-reloaded", extra={"changed": cfg != self._cfg})
-        self._cfg = cfg
+        """Put in force what a running node can change; the rest waits for its next start."""
+        changed = [
+            key for key, old, new in zip(cfg._fields, self._cfg, cfg, strict=True) if old != new
+        ]
+        later = [key for key in changed if key not in _RELOADED]
+        logger.info("settings-reloaded", extra={"changed": changed, "at_next_start": later})
+        self._cfg = self._cfg._replace(**{key: getattr(cfg, key) for key in _RELOADED})
+        self._budget.configure(
+            ratio=cfg.retry_ratio, slack=cfg.retry_slack, window_s=cfg.retry_window
+        )
+        logging.getLogger().setLevel(cfg.log_level.upper())
 
     async def _drain(self) -> None:
         began = self._loop.time()
--- a/balsamhead/mesh/_settings.py
+++ b/balsamhead/mesh/_settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import tomllib
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
@@ -16,6 +15,7 @@
     describe_unknown_key,
     find_fault,
 )
+from balsamhead.util.times import DURATION_PATTERN, parse_duration
 
 if TYPE_CHECKING:
     import os
@@ -29,9 +29,7 @@
 _STEP: Final = "load-mesh-settings"
 _ADDRESS: Final = r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}"
 _ADDRESS_SHAPE: Final = 'an IPv4 address and a port, such as "127.0.0.1:7000"'
-_DURATION: Final = r"\d+(\.\d+)?(ms|s)"
 _DURATION_SHAPE: Final = 'a time such as "1500ms" or "2.5s"'
-_TABLE_KEY: Final = "data_centres"
 
 
 class MeshSettings(NamedTuple):
@@ -50,13 +48,10 @@
     store_address: str
     announce_interval: float
     stop_deadline: float
-    max_memory_mb: int
     retry_ratio: float
     retry_slack: float
     retry_window: float
     log_level: str
-    #: region of each data centre
-    data_centres: dict[str, str]
 
 
 def _text(key: str, text: str, default: str | None = None) -> Field:
@@ -68,7 +63,9 @@
 
 
 def _duration(key: str, default: str, text: str) -> Field:
-    return Field(key, Kind.TEXT, default, pattern=_DURATION, shape=_DURATION_SHAPE, help=text)
+    return Field(
+        key, Kind.TEXT, default, pattern=DURATION_PATTERN, shape=_DURATION_SHAPE, help=text
+    )
 
 
 #: all settings of a mesh node, in the order of the reference
@@ -86,7 +83,6 @@
     _address("store_address", "where the platform's store answers"),
     _duration("announce_interval", "1500ms", "time between an upstream's announcements"),
     _duration("stop_deadline", "6s", "time from a stop signal to the forced end"),
-    Field("max_memory_mb", Kind.INTEGER, 256, 16, 1 << 20, unit="MB", help="memory it may use"),
     Field("retry_ratio", Kind.NUMBER, 0.2, 0, 1, help="repeats for each request of a service"),
     Field("retry_slack", Kind.NUMBER, 64.0, 0, 1e6, help="repeats of the whole mesh besides"),
     _duration("retry_window", "10s", "window in which repeats are counted"),
@@ -111,11 +107,10 @@
     values: dict[str, Any] = {}
     for field in MESH_SETTINGS:
         values[field.key] = _read_value(file, field, tree, mistakes)
-    known = [field.key for field in MESH_SETTINGS] + [_TABLE_KEY]
+    known = [field.key for field in MESH_SETTINGS]
     for key in tree.keys() - set(known):
         fault = describe_unknown_key(key, known)
         mistakes.append(Mistake(f"{file}: {key}", fault.code, fault.message))
-    values[_TABLE_KEY] = _read_places(file, tree.get(_TABLE_KEY, {}), mistakes)
     if mistakes:
         message = f"{file} has {len(mistakes)} mistakes; mend the file and start again"
         raise SettingsError(message, step=_STEP, mistakes=tuple(mistakes))
@@ -143,19 +138,6 @@
     if fault is not None:
         mistakes.append(Mistake(place, fault.code, fault.message))
         return None
-    if field.pattern == _DURATION:
-        return _parse_duration(str(value))
+    if field.pattern == DURATION_PATTERN:
+        return parse_duration(str(value))
     return value
-
-
-def _parse_duration(text: str) -> float:
-    number = float(re.sub(r"[a-z]", "", text))
-    return number / 1000 if text.endswith("ms") else number
-
-
-def _read_places(file: str, raw: object, mistakes: list[Mistake]) -> dict[str, str]:
-    if isinstance(raw, dict) and all(isinstance(item, str) for item in raw.values()):
-        return dict(raw)
-    place = f"{file}: {_TABLE_KEY}"
-    mistakes.append(Mistake(place, "type-wrong", "must be a table of data centre and region"))
-    return {}
--- a/balsamhead/platform/messages.py
+++ b/balsamhead/platform/messages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import Final
 
 import msgspec
@@ -20,6 +19,7 @@
     UpstreamRecord,
     UpstreamState,
 )
+from balsamhead.util.times import parse_duration
 
 __all__ = (
     "CONFIG_KEY",
@@ -31,7 +31,6 @@
     "encode_heartbeat_answer",
     "encode_rollout_status",
     "parse_announcement_path",
-    "parse_duration",
 )
 
 #: key of the newest configuration
@@ -41,7 +40,6 @@
 
 #: path under which upstreams say that they live, drain or leave
 _ANNOUNCEMENT_PATH: Final = "/instances"
-_DURATION: Final = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 _KINDS: Final = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.ONCE,
@@ -111,17 +109,6 @@
     cold_left: str = "0ms"
 
 
-def parse_duration(text: str) -> float:
-    """Return a time such as "1500ms" in s.
-
-    :raises ValueError: it is written otherwise.
-    """
-    found = _DURATION.fullmatch(text)
-    if found is None:
-        raise ValueError(f"{text!r} is no time")
-    return float(found[1]) * (0.001 if found[2] == "ms" else 1.0)
-
-
 def decode_config(data: bytes) -> Config:
     """Decode a configuration and check that it is closed under reference.
 
--- a/balsamhead/settings/__init__.py
+++ b/balsamhead/settings/__init__.py
@@ -5,7 +5,7 @@
 from balsamhead.errors import SettingsError
 from balsamhead.settings._load import KEY_VARIABLES, load_key, load_settings
 from balsamhead.settings._model import NodeSettings
-from balsamhead.settings._reference import render_reference
+from balsamhead.settings._reference import render_fields, render_reference
 
 __all__ = (
     "KEY_VARIABLES",
@@ -13,5 +13,6 @@
     "SettingsError",
     "load_key",
     "load_settings",
+    "render_fields",
     "render_reference",
 )
--- a/balsamhead/settings/_reference.py
+++ b/balsamhead/settings/_reference.py
@@ -9,22 +9,27 @@
 from balsamhead.util.fields import describe_allowed
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from balsamhead.util.fields import Field, Value
 
-__all__ = ("render_reference",)
+__all__ = ("render_fields", "render_reference")
 
 
 def render_reference() -> str:
     """Return the reference of all settings, as Markdown."""
     lines: list[str] = []
     for title, fields in GROUPS.items():
-        lines += [f"## {title}", "", "| Setting | Default | Allowed | Meaning |"]
-        lines.append("|---|---|---|---|")
-        lines += [_render_row(field) for field in fields]
-        lines.append("")
+        lines += [f"## {title}", "", render_fields(fields), ""]
     return "\n".join(lines)
 
 
+def render_fields(fields: Iterable[Field]) -> str:
+    """Return a table of settings, as Markdown."""
+    lines = ["| Setting | Default | Allowed | Meaning |", "|---|---|---|---|"]
+    return "\n".join(lines + [_render_row(field) for field in fields])
+
+
 def _render_row(field: Field) -> str:
     text = field.help
     variable = KEY_VARIABLES.get(field.key)
--- a/balsamhead/util/times.py
+++ b/balsamhead/util/times.py
@@ -1,10 +1,26 @@
-"""Render times for people."""
+"""Render times for people, and parse durations."""
 
 from __future__ import annotations
 
+import re
 from datetime import UTC, datetime
+from typing import Final
 
-__all__ = ("render_time",)
+__all__ = ("DURATION_PATTERN", "parse_duration", "render_time")
+
+#: how a duration is written: a number and its unit, such as "1500ms" or "2.5s"
+DURATION_PATTERN: Final = r"(\d+(?:\.\d+)?)(ms|s)"
+
+
+def parse_duration(text: str) -> float:
+    """Return a duration in s.
+
+    :raises ValueError: it is written otherwise.
+    """
+    found = re.fullmatch(DURATION_PATTERN, text)
+    if found is None:
+        raise ValueError(f"{text!r} is no time")
+    return float(found[1]) * (0.001 if found[2] == "ms" else 1.0)
 
 
 def render_time(seconds: float) -> str:
--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -55,12 +55,10 @@
         store_address=STORE,
         announce_interval=1.5,
         stop_deadline=6.0,
-        max_memory_mb=100,
         retry_ratio=0.2,
         retry_slack=64.0,
         retry_window=10.0,
         log_level="info",
-        data_centres=PLACES,
     )
 
 
--- a/tests/test_mesh/test_fleet.py
+++ b/tests/test_mesh/test_fleet.py
@@ -524,3 +524,15 @@
         assert (await ask(THREE, "/bulk/1")).body == b"from i-node-2"
 
     run_virtual(main)
+
+
+def test_reload_takes_over_what_a_running_node_can_change() -> None:
+    async def main() -> None:
+        fleet = FleetInMemory()
+        await fleet.start(ONE)
+        node = fleet.members[1].node
+        node.reload(ONE._replace(retry_ratio=0.0, retry_slack=0.0, caller_address="10.0.0.1:9"))
+        assert not node._budget.take("desk", asyncio.get_running_loop().time())
+        assert node._cfg.caller_address == ONE.caller_address
+
+    run_virtual(main)
--- a/tests/test_mesh/test_settings.py
+++ b/tests/test_mesh/test_settings.py
@@ -7,6 +7,7 @@
 
 from balsamhead.errors import SettingsError
 from balsamhead.mesh._settings import MESH_SETTINGS, load_mesh_settings
+from balsamhead.settings import render_fields
 
 ROOT = Path(__file__).parents[2]
 TEMPLATE = ROOT / "deploy" / "settings.toml.in"
@@ -24,8 +25,6 @@
 store_address = "10.9.0.1:8000"
 announce_interval = "1500ms"
 stop_deadline = "6s"
-[data_centres]
-east-a = "east"
 """
 
 
@@ -38,7 +37,6 @@
 def test_settings_are_read_with_times_in_seconds(tmp_path: Path) -> None:
     cfg = load_mesh_settings(write(tmp_path, GOOD))
     assert (cfg.announce_interval, cfg.stop_deadline, cfg.retry_ratio) == (1.5, 6.0, 0.2)
-    assert cfg.data_centres == {"east-a": "east"}
 
 
 def test_all_mistakes_are_reported_at_once(tmp_path: Path) -> None:
@@ -67,3 +65,8 @@
     known = {field.key for field in MESH_SETTINGS}
     assert {field.key for field in MESH_SETTINGS if field.default is None} <= given
     assert given <= known
+
+
+def test_page_of_settings_shows_the_table() -> None:
+    page = (ROOT / "docs" / "operators" / "mesh-settings.md").read_text()
+    assert render_fields(MESH_SETTINGS) in page
--- a/tests/test_platform/test_messages.py
+++ b/tests/test_platform/test_messages.py
@@ -13,8 +13,8 @@
     decode_order,
     decode_rollout_status,
     encode_rollout_status,
-    parse_duration,
 )
+from balsamhead.util.times import parse_duration
 from tests.test_mesh.builders import make_config, make_route
 
 HEARTBEAT = {
