Split the mesh node: state of the operator and the process get modules of their own

An exception in one run of a tick, or in a task, ended it for good without a line. Change: _sync.py reads and spreads the operator's state, _daemon.py is the process; ticks are scheduled before their work; a task that fails is logged.

--- a/balsamhead/mesh/_fleet.py
+++ b/balsamhead/mesh/_fleet.py
@@ -168,10 +168,11 @@
     # -- upkeep ------------------------------------------------------------------------------
 
     def _tick(self) -> None:
+        # first, so that a fault in one run does not end them all
+        self._timer = self._loop.call_later(_TICK_S, self._tick)
         now = self._loop.time()
         for peer in list(self.table.peers.values()):
             self._keep_up(peer, now)
-        self._timer = self._loop.call_later(_TICK_S, self._tick)
 
     def _keep_up(self, peer: Peer, now: float) -> None:
         link = peer.link
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -4,14 +4,11 @@
 
 import asyncio
 import logging
-import os
 import random
-import signal
 import time
-from pathlib import Path
 from typing import TYPE_CHECKING, Final, NamedTuple
 
-from balsamhead.errors import LogError, MalformedMessageError, SettingsError
+from balsamhead.errors import LogError, MalformedMessageError
 from balsamhead.mesh._budget import RetryBudget
 from balsamhead.mesh._caller import CallerSide
 from balsamhead.mesh._directory import Directory
@@ -22,9 +19,9 @@
 from balsamhead.mesh._peers import Beat, Hello, Peer, UpstreamView, rank_nodes
 from balsamhead.mesh._rollouts import RolloutController, RolloutView
 from balsamhead.mesh._server import HttpServer, Reply, Request
-from balsamhead.mesh._settings import MeshSettings, load_mesh_settings
+from balsamhead.mesh._settings import MeshSettings
 from balsamhead.mesh._shares import Shares
-from balsamhead.mesh._spread import StateBook, decode_change, encode_change
+from balsamhead.mesh._sync import STORE_PAUSE_S, OperatorSync
 from balsamhead.mesh._upstream import LocalUpstream
 from balsamhead.mesh.model import Limits, NodeRecord, OperatorState, Phase, Rollout
 from balsamhead.platform.headers import REQUEST_DROPPED
@@ -35,31 +32,21 @@
 )
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
-from balsamhead.util.logs import configure_bounded_logging
-from balsamhead.util.loop import make_event_loop
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Coroutine
+    from collections.abc import Awaitable, Coroutine
 
     from balsamhead.mesh._calls import Call, Outcome
     from balsamhead.mesh._link import Link
 
-__all__ = ("run_mesh_node",)
+__all__ = ("MeshNode",)
 
 logger = logging.getLogger(__name__)
 
-#: nodes that read the operator's records
-_READERS: Final = 2
-#: how long the store may hold back an empty read, in s
-_READ_WAIT_S: Final = 3.0
-#: pause after a failed call to the store, in s
-_STORE_PAUSE_S: Final = 0.5
 #: time between runs of the decisions, in s
 _TICK_S: Final = 0.2
 #: longest wait for links to the known nodes before the node is ready, in s
 _LINK_WAIT_S: Final = 0.8
-#: time between looks at the settings file, in s
-_SETTINGS_LOOK_S: Final = 2.0
 #: how long a stopping node goes on taking requests, in s
 _LINGER_S: Final = 2.4
 #: part of the stop's time after which requests are refused, so that those taken before can end
@@ -107,7 +94,6 @@
             region=cfg.region,
             service=cfg.service,
         )
-        self._book = StateBook()
         self._shares = Shares()
         self._counts = OutcomeCounts()
         self._metrics = MeshMetrics()
@@ -133,6 +119,13 @@
             rng=rng,
         )
         self._rollouts = RolloutController(self._shares, records, publish=self._publish_rollout)
+        self._sync = OperatorSync(
+            cfg.node,
+            records,
+            fleet=self._fleet,
+            shares=self._shares,
+            on_change=self._put_in_force,
+        )
         self._callers = HttpServer(
             self._caller.handle, get_limits=self._get_limits, dropped=REQUEST_DROPPED
         )
@@ -143,7 +136,6 @@
         ]
         self._stopped = asyncio.Event()
         self._stopping = False
-        self._store_failed = False
         self._links_due = 0.0
         self._sent_view: UpstreamView | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -166,7 +158,7 @@
         self._watch_gauges()
         logger.info("node-started", extra={"incarnation": self._own.incarnation})
         self._spawn(self._join())
-        self._spawn(self._read_operator())
+        self._spawn(self._sync.run())
         self._tick()
         await self._stopped.wait()
         await self._drain()
@@ -231,96 +223,19 @@
                 nodes = await self._records.read_nodes()
                 break
             except LogError as exc:
-                self._note_store(exc)
-                await asyncio.sleep(_STORE_PAUSE_S)
+                self._sync.note_store(exc)
+                await asyncio.sleep(STORE_PAUSE_S)
         for record in nodes:
             self._fleet.learn(record)
         self._links_due = self._loop.time() + _LINK_WAIT_S
         logger.info("nodes-listed", extra={"nodes": len(nodes)})
 
-    async def _read_operator(self) -> None:
-        while True:
-            if self._book.offset >= 0 and not self._is_reader():
-                await asyncio.sleep(_TICK_S)
-                continue
-            began, offset = self._loop.time(), self._book.offset
-            try:
-                wait_s = _READ_WAIT_S if self._book.offset >= 0 else 0.0
-                state = await self._records.read_operator(self._book.state, wait_s=wait_s)
-                if state.orders and not self._shares.rollouts:
-                    for rollout in await self._records.read_rollouts():
-                        if rollout.phase is not Phase.RUNNING:
-                            self._shares.merge(rollout)
-            except LogError as exc:
-                self._note_store(exc)
-                await asyncio.sleep(_STORE_PAUSE_S)
-                continue
-            self._note_store(None)
-            if state.config is None:
-                await asyncio.sleep(_STORE_PAUSE_S)
-                continue
-            self._advance(state, source="store")
-            if state.offset <= offset and self._loop.time() - began < _READ_WAIT_S / 2:
-                # a store that lags behind answers an early read at once
-                await asyncio.sleep(_STORE_PAUSE_S)
-
-    def _is_reader(self) -> bool:
-        names = [
-            peer.record.name
-            for peer in self._fleet.list_live()
-            if not peer.store_failed and not peer.stopping
-        ]
-        ranked = rank_nodes([*names, self._own.name], "readers")
-        return self._own.name in ranked[:_READERS]
-
-    def _note_store(self, exc: LogError | None) -> None:
-        failed = exc is not None
-        if failed != self._store_failed:
-            self._store_failed = failed
-            if failed:
-                logger.warning("store-lost", extra={"error": str(exc)})
-            else:
-                logger.info("store-regained")
-
-    # -- operator's state --------------------------------------------------------------------
-
-    def _advance(self, state: OperatorState, *, source: str) -> None:
-        base = self._book.offset
-        if not self._book.advance(state):
-            return
-        self._put_in_force(source)
-        change = self._book.make_change(base)
-        if change is not None and base >= 0:
-            self._fleet.broadcast(encode_frame(FrameKind.CONFIG, 0, None, encode_change(change)))
-
-    def _put_in_force(self, source: str) -> None:
-        state = self._book.state
+    def _put_in_force(self, state: OperatorState) -> None:
         if state.config is not None:
             self._caller.set_config(state.config)
-            logger.info(
-                "config-in-force",
-                extra={
-                    "version": state.config.version,
-                    "offset": state.offset,
-                    "source": source,
-                },
-            )
         for order in state.orders.values():
             self._rollouts.hear_order(order)
 
-    def _take_change(self, peer: Peer, link: Link, frame: Frame) -> None:
-        change = decode_change(frame.body, peer=link.peer)
-        applied = self._book.apply_change(change)
-        if applied is None:
-            link.send(FrameKind.CONFIG_PULL, 0, (self._book.offset,))
-        elif applied:
-            self._put_in_force(f"peer {peer.record.name}")
-
-    def _give_change(self, link: Link, base: int) -> None:
-        change = self._book.make_change(base)
-        if change is not None and change.offset > base:
-            link.send(FrameKind.CONFIG, 0, None, encode_change(change))
-
     # -- rollouts ----------------------------------------------------------------------------
 
     def _publish_rollout(self, rollout: Rollout) -> None:
@@ -367,7 +282,7 @@
             link.send(FrameKind.EVIDENCE, 0, _EvidenceHead(rollout.service, rows))
 
     def _decide_rollouts(self) -> None:
-        for order in self._book.state.orders.values():
+        for order in self._sync.state.orders.values():
             if self._find_decider(order.service) == self._own.name:
                 self._rollouts.decide(order, self._view_rollout(order.service, order.version))
 
@@ -392,13 +307,14 @@
     # -- ticks -------------------------------------------------------------------------------
 
     def _tick(self) -> None:
+        # first, so that a fault in one run does not end them all
+        self._timers[:] = [self._loop.call_later(_TICK_S, self._tick)]
         live = self._fleet.list_live()
         self._budget.nodes = len(live) + 1
         if self._make_view() != self._sent_view:
             self._upstream_changed()
         self._report_evidence()
         self._decide_rollouts()
-        self._timers[:] = [self._loop.call_later(_TICK_S, self._tick)]
 
     def _upstream_changed(self) -> None:
         view = self._make_view()
@@ -422,16 +338,16 @@
             self._own,
             self._make_view(),
             self._local.get_load(),
-            self._book.offset,
+            self._sync.offset,
             self._stopping,
         )
 
     def make_beat(self) -> Beat:
         """Return what a heartbeat says."""
         return Beat(
-            self._book.offset,
+            self._sync.offset,
             self._local.get_load(),
-            self._store_failed,
+            self._sync.store_failed,
             self._shares.steps,
             self._stopping,
         )
@@ -450,8 +366,8 @@
 
     def peer_heard(self, peer: Peer, link: Link) -> None:
         """Ask a peer for what it has and this node lacks."""
-        if peer.offset > self._book.offset:
-            link.send(FrameKind.CONFIG_PULL, 0, (self._book.offset,))
+        if peer.offset > self._sync.offset:
+            self._sync.pull(link)
         if peer.steps != self._shares.steps:
             for rollout in self._shares.rollouts.values():
                 link.send_encoded(self._encode_rollout(rollout))
@@ -460,9 +376,9 @@
         """Take in a frame about the configuration or a rollout."""
         match frame.kind:
             case FrameKind.CONFIG:
-                self._take_change(peer, link, frame)
+                self._sync.take_change(peer, link, frame)
             case FrameKind.CONFIG_PULL:
-                self._give_change(link, decode_head(frame, tuple[int], peer=link.peer)[0])
+                self._sync.give_change(link, decode_head(frame, tuple[int], peer=link.peer)[0])
             case FrameKind.ROLLOUT:
                 self._take_rollout(decode_head(frame, _RolloutHead, peer=link.peer))
             case FrameKind.EVIDENCE:
@@ -476,11 +392,11 @@
     # -- the platform's questions ------------------------------------------------------------
 
     def _get_limits(self) -> Limits:
-        config = self._book.state.config
+        config = self._sync.state.config
         return _DEFAULT_LIMITS if config is None else config.limits
 
     def _is_ready(self) -> bool:
-        if self._stopping or self._book.state.config is None:
+        if self._stopping or self._sync.state.config is None:
             return False
         if not self._was_ready:
             due = self._links_due
@@ -514,7 +430,7 @@
 
     def _watch_gauges(self) -> None:
         watch = self._metrics.watch
-        watch("config_offset", lambda: {"": self._book.offset})
+        watch("config_offset", lambda: {"": self._sync.offset})
         watch("requests_running", lambda: {"": self._local.running})
         watch("requests_waiting", lambda: {"": self._local.get_load().waiting})
         watch("links_live", lambda: {"": len(self._fleet.list_live())})
@@ -523,56 +439,9 @@
     def _spawn(self, coro: Coroutine[None, None, None]) -> None:
         task = self._loop.create_task(coro)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-
-def run_mesh_node(path: str) -> int:
-    """Run a mesh node with the settings of a file and return the exit code.
-
-    :raises SettingsError: the file has mistakes.
-    """
-    cfg = load_mesh_settings(path)
-    configure_bounded_logging(level=cfg.log_level, node=cfg.node)
-    with asyncio.Runner(loop_factory=make_event_loop) as runner:
-        runner.run(_run(cfg, path))
-    return 0
+        task.add_done_callback(self._finish_task)
 
-
-async def _run(cfg: MeshSettings, path: str) -> None:
-    store = StoreClient(cfg.store_address)
-    node = MeshNode(cfg, records=PlatformRecords(store), store=store)
-    loop = asyncio.get_running_loop()
-
-    def reload() -> None:
-        try:
-            node.reload(load_mesh_settings(path))
-        except SettingsError as exc:
-            logger.error("settings-refused", extra={"error": str(exc)})
-
-    loop.add_signal_handler(signal.SIGTERM, node.stop)
-    loop.add_signal_handler(signal.SIGINT, node.stop)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    watcher = loop.create_task(_watch_file(path, reload))
-    try:
-        await node.run()
-    finally:
-        watcher.cancel()
-
-
-async def _watch_file(path: str, reload: Callable[[], None]) -> None:
-    known = _get_stamp(path)
-    while True:
-        await asyncio.sleep(_SETTINGS_LOOK_S)
-        stamp = _get_stamp(path)
-        if stamp != known:
-            known = stamp
-            reload()
-
-
-def _get_stamp(path: str) -> tuple[int, int]:
-    try:
-        status = os.stat(Path(path))
-    except OSError as exc:
-        logger.warning("settings-unreadable", extra={"error": repr(exc)})
-        return (0, 0)
-    return (status.st_mtime_ns, status.st_size)
+    def _finish_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (exc := task.exception()) is not None:
+            logger.error("task-failed", exc_info=exc)
--- a/balsamhead/mesh/_server.py
+++ b/balsamhead/mesh/_server.py
@@ -121,11 +121,11 @@
 
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
+        self._sweeper = loop.call_later(_SWEEP_S, self._sweep)
         now = loop.time()
         limits = self.get_limits()
         for conn in list(self.connections):
             conn.check_time(now, limits)
-        self._sweeper = loop.call_later(_SWEEP_S, self._sweep)
 
 
 class _Connection(asyncio.Protocol):
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -17,13 +17,14 @@
     ("_server", "_exchange", "_link"),
     ("_peers", "_upstream"),
     ("_fleet", "_evidence"),
-    ("_directory", "_rollouts"),
+    ("_directory", "_rollouts", "_sync"),
     ("_caller",),
     ("_node",),
+    ("_daemon",),
     ("node",),
 )
 #: modules that may call the adapter
-USERS_OF_ADAPTER = {"_caller", "_exchange", "_node"}
+USERS_OF_ADAPTER = {"_caller", "_daemon", "_exchange", "_node"}
 #: words of the platform, which the adapter alone knows
 WIRE_WORDS = re.compile(
     r"beat_addr|target_latency|Target-Instance|Not-Executed|Server-Stamp|(?<!X-)Deadline-Ms"
--- a/tests/test_mesh/test_fleet.py
+++ b/tests/test_mesh/test_fleet.py
@@ -114,7 +114,9 @@
     async def main() -> None:
         fleet, ask = FleetInMemory(), Sender()
         await fleet.start(*(make_settings(number) for number in range(1, 6)))
-        readers = [number for number, member in fleet.members.items() if member.node._is_reader()]
+        readers = [
+            number for number, member in fleet.members.items() if member.node._sync.is_reader()
+        ]
         for number in readers:
             fleet.kill(number)
         fleet.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
@@ -130,7 +132,7 @@
         fleet, ask = FleetInMemory(), Sender()
         await fleet.start(*(make_settings(number) for number in range(1, 6)))
         for member in list(fleet.members.values()):
-            if member.node._is_reader():
+            if member.node._sync.is_reader():
                 member.node.stop()
         await asyncio.sleep(0.5)
         fleet.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
@@ -145,7 +147,7 @@
     async def main() -> None:
         fleet, ask = FleetInMemory(), Sender()
         await fleet.start(ONE, TWO, make_settings(4), make_settings(5))
-        readers = [m for m in fleet.members.values() if m.node._is_reader()]
+        readers = [m for m in fleet.members.values() if m.node._sync.is_reader()]
         fleet.store.faults.refused_hosts = {m.cfg.peer_address.split(":")[0] for m in readers}
         await asyncio.sleep(4.0)
         fleet.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
