--- /dev/null
+++ b/tests/test_mesh/test_server.py
@@ -0,0 +1,202 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import cast
+
+from balsamhead.mesh._calls import BodyPipe
+from balsamhead.mesh._server import HttpServer, Reply, Request
+from balsamhead.mesh.model import Limits
+from tests.test_mesh.builders import read_response, run_virtual
+
+ADDRESS = "10.0.0.1:80"
+LIMITS = Limits(header_bytes=500, body_bytes=1000, header_timeout_s=3.0, idle_timeout_s=15.0)
+GET = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class Conversation:
+    """Hold a server and a connection to it."""
+
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.reply = Reply(200, b"fine")
+        self.wait_s = 0.0
+        self.server = HttpServer(self._answer, get_limits=lambda: LIMITS)
+
+    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if not self.server.connections:
+            await self.server.start(ADDRESS)
+        host, _, port = ADDRESS.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def _answer(self, request: Request) -> Reply:
+        self.requests.append(request)
+        await asyncio.sleep(self.wait_s)
+        return self.reply
+
+
+async def read_status(data: bytes) -> int:
+    """Send bytes on a new connection and return the status of the answer."""
+    reader, writer = await Conversation().open()
+    writer.write(data)
+    return (await read_response(reader, "GET")).status
+
+
+def test_requests_on_one_connection_are_answered_in_turn() -> None:
+    async def main() -> None:
+        talk = Conversation()
+        talk.wait_s = 0.1
+        reader, writer = await talk.open()
+        writer.write(GET * 3)
+        for _ in range(3):
+            assert (await read_response(reader, "GET")).body == b"fine"
+        assert len(talk.requests) == 3
+
+    run_virtual(main)
+
+
+def test_body_in_chunks_is_joined() -> None:
+    async def main() -> None:
+        talk = Conversation()
+        reader, writer = await talk.open()
+        writer.write(
+            b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+        )
+        await asyncio.sleep(0.1)
+        writer.write(b"2\r\nde\r\n0\r\n\r\n")
+        await read_response(reader, "POST")
+        assert talk.requests[0].body == b"abcde"
+
+    run_virtual(main)
+
+
+def test_bounds_of_the_configuration_are_kept() -> None:
+    async def main() -> None:
+        assert await read_status(b"GET /a HTTP/1.1\r\nX: " + b"x" * 600) == 431
+
+    async def body() -> None:
+        head = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n"
+        assert await read_status(head) == 413
+
+    async def chunks() -> None:
+        head = b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        assert await read_status(head + b"3e9\r\n" + b"x" * 1001) == 413
+
+    for test in (main, body, chunks):
+        run_virtual(test)
+
+
+def test_malformed_request_is_refused_and_ends_the_connection() -> None:
+    async def main() -> None:
+        talk = Conversation()
+        reader, writer = await talk.open()
+        writer.write(b"GET /a HTTP/1.1\r\nBad Header\r\n\r\n" + GET)
+        response = await read_response(reader, "GET")
+        assert response.status == 400
+        assert await reader.read() == b""
+        assert talk.requests == []
+
+    run_virtual(main)
+
+
+def test_slow_request_is_ended_with_408_and_an_idle_connection_without_a_word() -> None:
+    async def main() -> None:
+        talk = Conversation()
+        reader, writer = await talk.open()
+        writer.write(GET[:10])
+        began = asyncio.get_running_loop().time()
+        assert (await read_response(reader, "GET")).status == 408
+        assert asyncio.get_running_loop().time() - began < 4.0
+        other, _ = await asyncio.open_connection("10.0.0.1", 80)
+        assert await other.read() == b""
+        assert 15.0 < asyncio.get_running_loop().time() - began < 21.0
+
+    run_virtual(main)
+
+
+def test_connection_that_is_used_stays_open() -> None:
+    async def main() -> None:
+        talk = Conversation()
+        reader, writer = await talk.open()
+        for _ in range(4):
+            writer.write(GET)
+            assert (await read_response(reader, "GET")).status == 200
+            await asyncio.sleep(0.8 * LIMITS.idle_timeout_s)
+
+    run_virtual(main)
+
+
+def test_caller_that_leaves_cancels_its_request() -> None:
+    async def main() -> None:
+        talk = Conversation()
+        ended = []
+
+        async def answer(request: Request) -> Reply:
+            try:
+                await asyncio.sleep(10)
+            finally:
+                ended.append(asyncio.get_running_loop().time())
+            return Reply(200)
+
+        talk.server.handler = answer
+        _, writer = await talk.open()
+        writer.write(GET)
+        await asyncio.sleep(0.2)
+        cast("asyncio.Transport", writer.transport).abort()
+        await asyncio.sleep(0.1)
+        assert len(ended) == 1
+
+    run_virtual(main)
+
+
+def test_rest_that_breaks_cuts_the_connection() -> None:
+    async def main() -> None:
+        talk = Conversation()
+        rest = BodyPipe()
+        talk.reply = Reply(200, b"begin", length=100, rest=rest)
+        reader, writer = await talk.open()
+        writer.write(GET)
+        await asyncio.sleep(0.1)
+        rest.push(b"more")
+        rest.fail("upstream-cut")
+        try:
+            data = await reader.read()
+        except ConnectionResetError:
+            data = b""
+        assert not data.endswith(b"x" * 100)
+        assert len(data.partition(b"\r\n\r\n")[2]) < 100
+
+    run_virtual(main)
+
+
+def test_closing_server_asks_callers_to_close() -> None:
+    async def main() -> None:
+        talk = Conversation()
+        reader, writer = await talk.open()
+        talk.server.closing = True
+        writer.write(GET)
+        response = await read_response(reader, "GET")
+        assert response.headers[b"connection"] == [b"close"]
+        assert await reader.read() == b""
+
+    run_virtual(main)
+
+
+def test_fault_of_a_handler_cuts_its_connection_only() -> None:
+    async def main() -> None:
+        talk = Conversation()
+
+        async def fail(request: Request) -> Reply:
+            raise ValueError("fault")
+
+        answer, talk.server.handler = talk.server.handler, fail
+        reader, writer = await talk.open()
+        writer.write(GET)
+        with contextlib.suppress(ConnectionResetError):
+            assert await reader.read() == b""
+        talk.server.handler = answer
+        reader, writer = await asyncio.open_connection("10.0.0.1", 80)
+        writer.write(GET)
+        assert (await read_response(reader, "GET")).status == 200
+
+    run_virtual(main)
