Drive an upstream's record by a state machine

Cause: the order of announcements, leaves and late messages was tested by single cases only. Change: a Hypothesis state machine: an incarnation that left or drains never gets work, records never go back, refused calls are no results.

--- /dev/null
+++ b/tests/test_mesh/test_upstream_machine.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from balsamhead.mesh._calls import Call, Refused
+from balsamhead.mesh._upstream import LocalUpstream, Result
+from balsamhead.mesh.model import RouteKind, UpstreamRecord, UpstreamState
+from standin.virtual import VirtualLoop
+
+IDS = st.sampled_from(["i-1", "i-2"])
+CALL = Call(
+    b"r1", "GET", b"/a", b"", "check", RouteKind.SAFE, 2, "desk", "", "desk", 1000, 250, False
+)
+
+
+class UpstreamRecords(RuleBasedStateMachine):
+    """Announce, leave, crash and call in any order, with late messages among them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = VirtualLoop()
+        self.results: list[Result] = []
+        self.left: set[tuple[str, int]] = set()
+        self.newest = (-1, -1)
+        self.upstream: LocalUpstream = self.run(self.make())
+
+    async def make(self) -> LocalUpstream:
+        return LocalUpstream(
+            address="10.0.0.1:8000",
+            service="desk",
+            announce_interval_s=1.5,
+            on_change=lambda: None,
+            on_result=self.results.append,
+        )
+
+    def run(self, coro: Coroutine[Any, Any, Any]) -> Any:
+        return self.loop.run_until_complete(coro)
+
+    def teardown(self) -> None:
+        tasks = asyncio.all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        self.run(asyncio.sleep(0))
+        self.loop.close()
+
+    @rule(
+        name=IDS,
+        born=st.integers(0, 3),
+        sequence=st.integers(0, 6),
+        state=st.sampled_from(UpstreamState),
+        service=st.sampled_from(["desk", "desk", "desk", "registry"]),
+    )
+    def announce(
+        self, name: str, born: int, sequence: int, state: UpstreamState, service: str
+    ) -> None:
+        row = UpstreamRecord(name, service, "10.0.0.1:8000", "v1", 2, state, 0.0, born, sequence)
+        taken = self.upstream.accept_record(row)
+        if taken:
+            assert service == "desk"
+            assert (born, sequence) > self.newest
+            self.newest = (born, sequence)
+
+    @rule(name=IDS)
+    def leave(self, name: str) -> None:
+        if self.upstream.leave(name):
+            record = self.upstream.record
+            assert record is not None
+            self.left.add((record.id, record.born_ms))
+            assert not self.upstream.accepts()
+
+    @rule(seconds=st.floats(0.1, 8.0))
+    def wait(self, seconds: float) -> None:
+        self.run(asyncio.sleep(seconds))
+
+    @rule()
+    def call_while_it_is_down(self) -> None:
+        """Nobody listens, so that a request is refused unrun whatever the record says."""
+        outcome = self.run(self.upstream.run(CALL, b""))
+        assert isinstance(outcome, Refused)
+        assert self.upstream.running == 0
+
+    @invariant()
+    def one_that_left_gets_nothing(self) -> None:
+        record = self.upstream.record
+        if record is not None and (record.id, record.born_ms) in self.left:
+            assert not self.upstream.accepts()
+
+    @invariant()
+    def one_that_drains_gets_nothing(self) -> None:
+        record = self.upstream.record
+        if record is None or record.state is UpstreamState.DRAINING:
+            assert not self.upstream.accepts()
+
+    @invariant()
+    def refused_calls_are_no_results(self) -> None:
+        assert self.results == []
+
+
+TestUpstreamRecords = UpstreamRecords.TestCase
+TestUpstreamRecords.settings = settings(max_examples=60, stateful_step_count=25, deadline=None)
