Remove what the mesh path does not use

Cause: a flag of a call, a frame's kind, two methods and a parameter were read by nothing. Change: removed; nothing else.

--- a/balsamhead/mesh/_caller.py
+++ b/balsamhead/mesh/_caller.py
@@ -263,7 +263,6 @@
             caller_service=self._cfg.service,
             left_ms=max(1, int((ends_at - now) * 1000)),
             objective_ms=int((request.read_at + route.objective_s - now) * 1000),
-            repeated=trace.arrivals > 0,
         )
         if found.distance.own:
             return await self._local.run(call, request.body)
--- a/balsamhead/mesh/_calls.py
+++ b/balsamhead/mesh/_calls.py
@@ -42,8 +42,6 @@
     left_ms: int
     #: what is left of the time within which the answer has its full worth, in ms
     objective_ms: int
-    #: another upstream may have got it before
-    repeated: bool = False
 
 
 class Answer(NamedTuple):
--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -43,7 +43,6 @@
     CONFIG_PULL = 31
     ROLLOUT = 32
     EVIDENCE = 33
-    CRASHES = 34
 
 
 class Frame(NamedTuple):
--- a/balsamhead/mesh/_peers.py
+++ b/balsamhead/mesh/_peers.py
@@ -147,10 +147,6 @@
             peer.dial_at = 0.0
         return peer
 
-    def list_live(self, now: float, silence_s: float) -> list[Peer]:
-        """List the peers that were heard within a time."""
-        return [peer for peer in self.peers.values() if peer.is_live(now, silence_s)]
-
 
 def rank_nodes(names: Iterable[str], topic: str) -> list[str]:
     """Order nodes by rendezvous hashing, the same on each node that knows the same names."""
--- a/balsamhead/mesh/_rollouts.py
+++ b/balsamhead/mesh/_rollouts.py
@@ -76,11 +76,11 @@
         self._writing: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def hear_order(self, order: Order, *, elapsed_s: float = 0.0) -> None:
+    def hear_order(self, order: Order) -> None:
         """Note when an order was heard first."""
         known = self._heard.get(order.service)
         if known is None or known[0] < order.offset:
-            self._heard[order.service] = (order.offset, self._loop.time() - elapsed_s)
+            self._heard[order.service] = (order.offset, self._loop.time())
 
     def hear_elapsed(self, rollout: Rollout, elapsed_s: float) -> None:
         """Take in from a peer since when a rollout runs."""
@@ -122,10 +122,6 @@
         elif view.new_ready:
             self._raise_share(order, rollout, test)
 
-    def settle(self, rollout: Rollout) -> None:
-        """Write the end of a rollout that was taken back while the store was away."""
-        self._finish(rollout)
-
     def _begin(self, order: Order) -> None:
         rollout = Rollout(order.service, order.version, order.offset, Phase.RUNNING, 0, 0.0)
         logger.info(
--- a/tests/test_mesh/test_upstream_machine.py
+++ b/tests/test_mesh/test_upstream_machine.py
@@ -14,9 +14,7 @@
 from standin.virtual import VirtualLoop
 
 IDS = st.sampled_from(["i-1", "i-2"])
-CALL = Call(
-    b"r1", "GET", b"/a", b"", "check", RouteKind.SAFE, 2, "desk", "", "desk", 1000, 250, False
-)
+CALL = Call(b"r1", "GET", b"/a", b"", "check", RouteKind.SAFE, 2, "desk", "", "desk", 1000, 250)
 
 
 class UpstreamRecords(RuleBasedStateMachine):
