Look for a free slot before a request waits, and bound waits where no slot gets free

Callers waited at fast upstreams while slow ones were idle, and went to upstreams that had filled since they were last heard of. A request was held at one node after another, each time for its whole patience. An upstream that had run nothing counted as slow as 60 ms and got nothing from other machines.

Change: - a call that expects a free slot and finds none is refused with the load and goes elsewhere; only one that knows that it waits is queued.

--- a/balsamhead/mesh/_caller.py
+++ b/balsamhead/mesh/_caller.py
@@ -7,8 +7,9 @@
 from typing import TYPE_CHECKING, Final
 
 from balsamhead.mesh._calls import Answer, Call, Lost, Outcome, Refused
-from balsamhead.mesh._choice import Candidate, choose
+from balsamhead.mesh._choice import Candidate, Choice, choose
 from balsamhead.mesh._fairness import RankFairness
+from balsamhead.mesh._patience import get_patience, get_room
 from balsamhead.mesh._routes import RouteTable, WeightedParts
 from balsamhead.mesh._server import Reply, Request
 from balsamhead.mesh.model import Config, Route, RouteKind
@@ -34,6 +35,8 @@
 _DEFAULT_DEADLINE_MS: Final = 10_000
 #: nodes that are asked before a request is refused
 _MAX_TRIES: Final = 3
+#: nodes that may turn out to be full, besides, before a request waits at one
+_MAX_FULL: Final = 4
 #: weight of a new sample in the size of a route's requests and answers
 _SIZE_WEIGHT: Final = 0.05
 #: sizes that are assumed at first, in bytes
@@ -51,10 +54,6 @@
 _UNSERVED: Final = (503, 504)
 #: of how many requests with an answer one is logged
 _LOG_ONE_IN: Final = 200
-#: part of the deadline in which a wait is accepted that passes the objective
-_PATIENCE: Final = 0.4
-#: part of its objective that a request is assumed to run at most
-_RUN_PART: Final = 0.5
 #: part of the budget of repeats that answered failures may use, since their inner calls repeat too
 _FAILURE_PART: Final = 0.2
 
@@ -62,7 +61,15 @@
 class _Trace:
     """Hold what was tried for a request, for the log."""
 
-    __slots__ = ("arrivals", "maybe_run", "request_id", "route", "tried")
+    __slots__ = (
+        "arrivals",
+        "maybe_run",
+        "patience_ends_at",
+        "request_id",
+        "route",
+        "tried",
+        "urgent",
+    )
 
     def __init__(self, request_id: bytes) -> None:
         self.request_id = request_id.decode("latin-1")
@@ -72,6 +79,10 @@
         self.arrivals = 0
         #: an upstream may have run it
         self.maybe_run = False
+        #: less urgent requests go to the same service
+        self.urgent = False
+        #: time until which it may wait for a slot, in s of the loop's clock
+        self.patience_ends_at = 0.0
 
 
 class CallerSide:
@@ -132,6 +143,10 @@
         service = self._parts.deal(route)
         self._budget.count_request(service, self._loop.time())
         try:
+            trace.urgent = self._fairness.is_urgent(service, route.priority)
+            trace.patience_ends_at = request.read_at + get_patience(
+                objective_s=route.objective_s, wait_s=ends_at - request.read_at, urgent=trace.urgent
+            )
             ranked = route._replace(priority=self._fairness.get_rank(service, route.priority))
             async with asyncio.timeout_at(ends_at):
                 reply = await self._carry(request, ranked, service, ends_at, trace)
@@ -151,19 +166,28 @@
         retry_after_s = _RETRY_AFTER_S
         code = "no-upstream"
         kept: Answer | None = None
-        while len(trace.tried) < _MAX_TRIES:
-            found = self._choose(request, route, service, excluded, ends_at)
+        full = 0
+        while len(trace.tried) - full < _MAX_TRIES:
+            found = self._choose(request, route, service, excluded, ends_at, trace)
             if isinstance(found, Refused):
                 code, retry_after_s = found.code, found.retry_after_s or retry_after_s
                 break
-            outcome = await self._send(request, route, service, found, ends_at, trace)
+            node = found.candidate.node
+            may_wait = found.wait_ms > 0 or full >= _MAX_FULL
+            outcome = await self._send(
+                request, route, service, found.candidate, ends_at, trace, may_wait=may_wait
+            )
+            if isinstance(outcome, Refused) and outcome.code == "upstream-full" and not may_wait:
+                # its load is known now, so that the next choice goes elsewhere or waits
+                full += 1
+                continue
             if isinstance(outcome, Answer):
                 if not self._may_better(outcome, route, service, ends_at, trace):
                     return self._deliver(request, route, outcome, trace)
                 kept = outcome
-                excluded.add(found.node)
+                excluded.add(node)
                 continue
-            excluded.add(found.node)
+            excluded.add(node)
             code = outcome.code
             if isinstance(outcome, Refused):
                 retry_after_s = outcome.retry_after_s or retry_after_s
@@ -210,7 +234,8 @@
         service: str,
         excluded: set[str],
         ends_at: float,
-    ) -> Candidate | Refused:
+        trace: _Trace,
+    ) -> Choice | Refused:
         now = self._loop.time()
         versions = self._directory.list_versions(service, now)
         if not versions:
@@ -232,11 +257,16 @@
             return Refused("upstreams-excluded")
         left_ms = (ends_at - now) * 1000
         objective_ms = (request.read_at + route.objective_s - now) * 1000
-        run_ms = min(found.candidate.service_ms, route.objective_s * 1000 * _RUN_PART)
-        room_ms = max(objective_ms, left_ms * _PATIENCE) - run_ms
+        room_ms = get_room(
+            objective_ms=objective_ms,
+            patience_ms=(trace.patience_ends_at - now) * 1000,
+            left_ms=left_ms,
+            run_ms=found.candidate.service_ms,
+            bound_by_objective=found.candidate.saturated and not trace.urgent,
+        )
         if found.wait_ms > max(room_ms, 0.0) and found.wait_ms > 0:
             return Refused("upstreams-busy", min(found.wait_ms / 1000, left_ms / 3000))
-        return found.candidate
+        return found
 
     async def _send(
         self,
@@ -246,6 +276,8 @@
         found: Candidate,
         ends_at: float,
         trace: _Trace,
+        *,
+        may_wait: bool,
     ) -> Outcome:
         now = self._loop.time()
         trace.tried.append(found.node)
@@ -263,6 +295,8 @@
             caller_service=self._cfg.service,
             left_ms=max(1, int((ends_at - now) * 1000)),
             objective_ms=int((request.read_at + route.objective_s - now) * 1000),
+            patience_ms=int((trace.patience_ends_at - now) * 1000) if may_wait else 0,
+            urgent=trace.urgent,
         )
         if found.distance.own:
             return await self._local.run(call, request.body)
--- a/balsamhead/mesh/_calls.py
+++ b/balsamhead/mesh/_calls.py
@@ -42,6 +42,10 @@
     left_ms: int
     #: what is left of the time within which the answer has its full worth, in ms
     objective_ms: int
+    #: what is left of the time in which it may wait for a slot, in ms; 0 for not at all
+    patience_ms: int
+    #: less urgent requests go to the service, so that this one waits while its time lasts
+    urgent: bool = False
 
 
 class Answer(NamedTuple):
--- a/balsamhead/mesh/_directory.py
+++ b/balsamhead/mesh/_directory.py
@@ -151,13 +151,15 @@
             version=view.version,
             slots=view.slots,
             busy=peer.estimate_busy(now, priority),
-            service_ms=peer.load.service_ms or self._local.service_ms,
+            service_ms=peer.load.service_ms,
             cold=view.cold,
             distance=Distance(
                 own=False,
                 same_data_centre=record.data_centre == self._cfg.data_centre,
                 same_region=record.region == self._cfg.region,
             ),
+            saturated=peer.load.saturated,
+            faults=peer.load.faults,
         )
 
     def _make_own(self, priority: int) -> Candidate:
@@ -171,4 +173,6 @@
             service_ms=load.service_ms,
             cold=self._local.is_cold(),
             distance=_OWN,
+            saturated=load.saturated,
+            faults=load.faults,
         )
--- a/balsamhead/mesh/_fairness.py
+++ b/balsamhead/mesh/_fairness.py
@@ -7,7 +7,7 @@
 __all__ = ("RankFairness",)
 
 #: part of the best served rank's share from which a rank is raised, 0 to 1
-_LEAST_PART: Final = 0.5
+_LEAST_PART: Final = 0.35
 #: weight of a new request in the share that is served
 _WEIGHT: Final = 0.1
 #: rank that goes before all others
@@ -26,6 +26,10 @@
         share = shares.get(rank, 1.0)
         shares[rank] = share + _WEIGHT * (served - share)
 
+    def is_urgent(self, service: str, rank: int) -> bool:
+        """Answer whether requests with a lesser rank go to the service too."""
+        return any(other > rank for other in self._served.get(service, ()))
+
     def get_rank(self, service: str, rank: int) -> int:
         """Return the rank that the next request gets."""
         shares = self._served.get(service)
--- a/balsamhead/mesh/_fleet.py
+++ b/balsamhead/mesh/_fleet.py
@@ -287,11 +287,11 @@
                 except BalsamheadError as exc:
                     logger.warning("frame-refused", extra={"peer": link.peer, "error": str(exc)})
 
-    def load_heard(self, link: Link, load: Load) -> None:
-        """Take in how busy a peer's upstream is."""
+    def load_heard(self, link: Link, load: Load, *, ended: int) -> None:
+        """Take in how busy a peer's upstream is, with the end of a call of a rank."""
         peer = self.table.peers.get(link.peer)
         if peer is not None:
-            peer.hear_load(load, self._loop.time())
+            peer.hear_load(load, self._loop.time(), ended=ended)
 
     def get_load(self) -> Load:
         """Return how busy this node's upstream is."""
--- a/balsamhead/mesh/_link.py
+++ b/balsamhead/mesh/_link.py
@@ -79,8 +79,8 @@
     def frame_received(self, link: Link, frame: Frame) -> None:
         """Take in a frame that belongs to no call."""
 
-    def load_heard(self, link: Link, load: Load) -> None:
-        """Take in how busy the peer's upstream is."""
+    def load_heard(self, link: Link, load: Load, *, ended: int) -> None:
+        """Take in how busy the peer's upstream is, with the end of a call of a rank."""
 
     def get_load(self) -> Load:
         """Return how busy this node's upstream is."""
@@ -92,10 +92,11 @@
 class _Stream:
     """Hold a call that was sent and isn't over."""
 
-    __slots__ = ("future", "pipe")
+    __slots__ = ("future", "pipe", "priority")
 
-    def __init__(self, future: asyncio.Future[Outcome]) -> None:
+    def __init__(self, future: asyncio.Future[Outcome], priority: int) -> None:
         self.future = future
+        self.priority = priority
         self.pipe: BodyPipe | None = None
 
 
@@ -207,7 +208,7 @@
             return Refused("link-closed")
         self._next += 1
         number = self._next
-        stream = _Stream(self._loop.create_future())
+        stream = _Stream(self._loop.create_future(), call.priority)
         self._streams[number] = stream
         head = _CallHead(call, len(body))
         self.send(FrameKind.CALL, number, head, body[:_PIECE_BYTES])
@@ -248,9 +249,9 @@
 
     def _take_outcome(self, frame: Frame) -> None:
         stream = self._streams.get(frame.stream)
-        outcome = self._decode_outcome(frame)
         if stream is None:
             return
+        outcome = self._decode_outcome(frame, stream.priority)
         if isinstance(outcome, Answer) and outcome.rest is not None:
             stream.pipe = outcome.rest
             self._watch_pipe(frame.stream, outcome.rest)
@@ -259,16 +260,16 @@
         if not stream.future.done():
             stream.future.set_result(outcome)
 
-    def _decode_outcome(self, frame: Frame) -> Outcome:
+    def _decode_outcome(self, frame: Frame, priority: int) -> Outcome:
         if frame.kind == FrameKind.ANSWER:
             head = decode_head(frame, _AnswerHead, peer=self.peer)
-            self._handler.load_heard(self, head.load)
+            self._handler.load_heard(self, head.load, ended=priority)
             rest = None if head.whole else BodyPipe()
             return Answer(head.status, head.reason, head.headers, frame.body, head.length, rest)
         if frame.kind == FrameKind.REFUSED:
             refused = decode_head(frame, _RefusedHead, peer=self.peer)
             if refused.load is not None:
-                self._handler.load_heard(self, refused.load)
+                self._handler.load_heard(self, refused.load, ended=priority)
             return Refused(refused.code, refused.retry_after_s, refused.load)
         code = decode_head(frame, _CodeHead, peer=self.peer).code
         return Rejected(code) if frame.kind == FrameKind.REJECTED else Lost(code)
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -127,10 +127,14 @@
 
     #: requests that it runs
     running: int
-    #: mean time of a request, in ms
+    #: mean time of a request, in ms; 0 when none has ended
     service_ms: float
     #: requests that wait at its node, by rank
     queue: tuple[tuple[int, int], ...] = ()
+    #: no slot has been free for some time
+    saturated: bool = False
+    #: share of its last requests that it failed, lost or shed, 0 to 1
+    faults: float = 0.0
 
     @property
     def waiting(self) -> int:
--- a/balsamhead/mesh/_peers.py
+++ b/balsamhead/mesh/_peers.py
@@ -97,11 +97,16 @@
         self.dial_at = 0.0
         self.failed_dials = 0
 
-    def hear_load(self, load: Load, now: float) -> None:
-        """Take in how busy the peer's upstream is."""
+    def hear_load(self, load: Load, now: float, *, ended: int | None = None) -> None:
+        """Take in how busy the peer's upstream is.
+
+        :param ended: rank of the call with whose end the load came.
+        """
         self.load = load
         self.heard_load_at = now
         self._heard_mine = dict(self.mine)
+        if ended is not None:
+            self._heard_mine[ended] = self._heard_mine.get(ended, 0) - 1
 
     def estimate_busy(self, now: float, priority: int) -> float:
         """Estimate how many requests go before one of a rank at the peer's upstream now."""
@@ -110,7 +115,7 @@
         slots = self.upstream.slots if self.upstream else 1
         sent_since = self.count_mine(priority) - _count_to(self._heard_mine, priority)
         heard = self.load.count_ahead(priority) + max(0, sent_since)
-        guess = sum(self.mine.values()) + _USUAL_USE * slots
+        guess = sum(self.mine.values()) + min(_USUAL_USE * slots, slots - 1)
         return trust * heard + (1.0 - trust) * guess
 
     def count_mine(self, priority: int) -> int:
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -10,6 +10,7 @@
 
 from balsamhead.mesh._calls import Answer, Call, Lost, Outcome, Refused, Rejected
 from balsamhead.mesh._exchange import UpstreamConnection
+from balsamhead.mesh._patience import get_room
 from balsamhead.mesh.model import Load, RouteKind, UpstreamRecord, UpstreamState
 
 if TYPE_CHECKING:
@@ -23,6 +24,8 @@
 _CONNECT_TIMEOUT_S: Final = 0.3
 #: weight of a new sample in the mean time of a request
 _SAMPLE_WEIGHT: Final = 0.05
+#: weight of a new outcome in the share of faults
+_FAULT_WEIGHT: Final = 0.1
 #: mean time of a request that is assumed at first, in ms
 _FIRST_SERVICE_MS: Final = 60.0
 #: how long an upstream that refuses connections gets no work, in s, unless it announces itself
@@ -31,10 +34,8 @@
 _MISSED_ANNOUNCEMENTS: Final = 3
 #: idle time from which a connection isn't trusted with a request that runs at most once, in s
 _TRUSTED_IDLE_S: Final = 1.0
-#: part of the deadline in which a wait is accepted that passes the objective
-_PATIENCE: Final = 0.4
-#: part of its objective that a request is assumed to run at most
-_RUN_PART: Final = 0.5
+#: time without a free slot from which requests wait no longer than their objective allows, in s
+_SATURATED_S: Final = 0.5
 #: longest time to come back that a refusal names, in s
 _MAX_RETRY_AFTER_S: Final = 0.3
 #: shortest one
@@ -105,6 +106,10 @@
         self.record: UpstreamRecord | None = None
         self.running = 0
         self.service_ms = _FIRST_SERVICE_MS
+        self._samples = 0
+        self._faults = 0.0
+        #: when a slot was free last
+        self._free_at = self._loop.time()
         #: the node stops and its upstream takes nothing more from it
         self.stopping = False
 
@@ -128,6 +133,8 @@
         if replaced:
             self._drop_connections()
             self.service_ms = _FIRST_SERVICE_MS
+            self._samples = 0
+            self._faults = 0.0
         now = self._loop.time()
         self.record = record
         self._heard_at = now
@@ -178,7 +185,18 @@
     def get_load(self) -> Load:
         """Return how busy the upstream is."""
         ranks = Counter(waiter.priority for waiter in self._queue)
-        return Load(self.running, self.service_ms, tuple(ranks.items()))
+        service_ms = self.service_ms if self._samples else 0.0
+        return Load(
+            self.running,
+            service_ms,
+            tuple(ranks.items()),
+            self.is_saturated(),
+            round(self._faults, 2),
+        )
+
+    def is_saturated(self) -> bool:
+        """Answer whether no slot has been free for some time."""
+        return bool(self._queue) and self._loop.time() - self._free_at > _SATURATED_S
 
     # -- calls -------------------------------------------------------------------------------
 
@@ -210,7 +228,10 @@
         if record.service != call.service or (call.version and call.version != record.version):
             return self._refuse("upstream-other")
         if self.running < record.slots and not self._queue:
+            self._free_at = self._loop.time()
             return None
+        if call.patience_ms <= 0:
+            return self._refuse("upstream-full")
         ahead = sum(1 for waiter in self._queue if waiter.priority <= call.priority)
         wait_ms = (ahead + 1) * self.service_ms / record.slots
         if wait_ms > self._get_room(call):
@@ -218,10 +239,13 @@
         return None
 
     def _get_room(self, call: Call) -> float:
-        """Return how long a request may wait, in ms."""
-        run_ms = min(self.service_ms, max(call.objective_ms, 0) * _RUN_PART)
-        room_ms = max(call.objective_ms, call.left_ms * _PATIENCE) - run_ms
-        return min(room_ms, call.left_ms - run_ms)
+        return get_room(
+            objective_ms=call.objective_ms,
+            patience_ms=call.patience_ms,
+            left_ms=call.left_ms,
+            run_ms=self.service_ms,
+            bound_by_objective=self.is_saturated() and not call.urgent,
+        )
 
     def _refuse(self, code: str) -> Refused:
         slots = self.record.slots if self.record else 1
@@ -253,6 +277,8 @@
             if not waiter.future.done():
                 self.running += 1
                 waiter.future.set_result(True)
+        if self.running < slots:
+            self._free_at = self._loop.time()
 
     def _refuse_waiting(self, code: str) -> None:
         if self._queue:
@@ -320,6 +346,9 @@
         self._judge(call, record, outcome, (self._loop.time() - began) * 1000)
         return outcome
 
+    def _note_fault(self, *, failed: bool) -> None:
+        self._faults += _FAULT_WEIGHT * (failed - self._faults)
+
     def _may_still_send(self, call: Call, record: UpstreamRecord) -> bool:
         return self.accepts() and (not call.version or call.version == record.version)
 
@@ -360,7 +389,9 @@
     def _judge(self, call: Call, record: UpstreamRecord, outcome: Outcome, took_ms: float) -> None:
         match outcome:
             case Answer(status=status):
-                self.service_ms += _SAMPLE_WEIGHT * (took_ms - self.service_ms)
+                self._samples += 1
+                weight = max(_SAMPLE_WEIGHT, 1.0 / self._samples)
+                self.service_ms += weight * (took_ms - self.service_ms)
                 failed = status >= 500
             case Lost(code=code):
                 logger.info(
@@ -378,12 +409,15 @@
                     "exchange-rejected",
                     extra={"id": call.request_id.decode("latin-1"), "code": code},
                 )
+                self._note_fault(failed=True)
                 if code == "upstream-replaced":
                     self._down_until = self._loop.time() + _DOWN_S
                     self._on_change()
                 return
             case _:
                 return
+        if not isinstance(outcome, Lost) or outcome.code != "caller-left":
+            self._note_fault(failed=failed)
         cold = self._loop.time() < self._cold_until
         self._on_result(Result(record.service, record.version, call.route, failed, took_ms, cold))
 
--- a/tests/test_mesh/test_choice.py
+++ b/tests/test_mesh/test_choice.py
@@ -98,3 +98,18 @@
     small = sum(budget.take("desk", 1.0, part=0.2) for _ in range(100))
     rest = sum(budget.take("desk", 1.0) for _ in range(100))
     assert (small, rest) == (2, 8)
+
+
+def test_upstream_that_ran_nothing_yet_gets_work_beside_fast_ones() -> None:
+    rows = (make("new", NEAR, service_ms=0), make("fast", NEAR, busy=2, service_ms=20))
+    assert pick(*rows) == "new"
+
+
+def test_free_slot_of_a_slow_upstream_goes_before_a_wait_at_a_fast_one() -> None:
+    rows = (make("slow", NEAR, service_ms=120), make("fast", NEAR, busy=7, service_ms=60))
+    assert pick(*rows) == "slow"
+
+
+def test_upstream_that_fails_its_requests_goes_last() -> None:
+    failing = make("failing", NEAR)._replace(faults=0.4)
+    assert pick(failing, make("sound", NEAR, busy=3)) == "sound"
--- a/tests/test_mesh/test_exchange.py
+++ b/tests/test_mesh/test_exchange.py
@@ -23,6 +23,7 @@
     caller_service="registry",
     left_ms=1000,
     objective_ms=250,
+    patience_ms=400,
 )
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
 WHOLE = HEAD + b"Content-Length: 4\r\n\r\nfine"
--- a/tests/test_mesh/test_fleet.py
+++ b/tests/test_mesh/test_fleet.py
@@ -5,6 +5,7 @@
 from balsamhead.mesh._server import Reply, Request
 from standin.virtual import RUNNING_AS
 from tests.test_mesh.builders import (
+    FakeUpstream,
     FleetInMemory,
     Sender,
     make_config,
@@ -538,3 +539,51 @@
         assert node._cfg.caller_address == ONE.caller_address
 
     run_virtual(main)
+
+
+def test_call_that_finds_an_upstream_full_goes_to_a_free_one() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start()
+        callers = [make_settings(number, service="registry") for number in range(1, 5)]
+        for cfg in callers:
+            await fleet.add(cfg)
+        for number in range(5, 9):
+            cfg = make_settings(number)
+            upstream = FakeUpstream(cfg, slots=1)
+            await upstream.start()
+            await fleet.add(cfg, upstream=upstream)
+        await asyncio.sleep(3.0)
+        loop = asyncio.get_running_loop()
+        for _ in range(8):
+            began = loop.time()
+            rows = await asyncio.gather(*(ask(cfg) for cfg in callers))
+            assert [row.status for row in rows] == [200] * 4
+            assert loop.time() - began < 2 * upstream.work_s
+            await asyncio.sleep(0.5)
+
+    run_virtual(main)
+
+
+def test_request_waits_at_several_nodes_no_longer_than_at_one() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start()
+        for number in (1, 2):
+            cfg = make_settings(number)
+            upstream = FakeUpstream(cfg, slots=1)
+            upstream.work_s = 5.0
+            await upstream.start()
+            await fleet.add(cfg, upstream=upstream)
+        await fleet.add(THREE)
+        await asyncio.sleep(3.0)
+        hogs = [asyncio.create_task(ask(cfg, deadline_ms=6000)) for cfg in (ONE, TWO)]
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        response = await ask(THREE)
+        assert response.status == 503
+        assert loop.time() - began < 0.45
+        await asyncio.gather(*hogs)
+
+    run_virtual(main)
--- a/tests/test_mesh/test_upstream_machine.py
+++ b/tests/test_mesh/test_upstream_machine.py
@@ -14,7 +14,9 @@
 from standin.virtual import VirtualLoop
 
 IDS = st.sampled_from(["i-1", "i-2"])
-CALL = Call(b"r1", "GET", b"/a", b"", "check", RouteKind.SAFE, 2, "desk", "", "desk", 1000, 250)
+CALL = Call(
+    b"r1", "GET", b"/a", b"", "check", RouteKind.SAFE, 2, "desk", "", "desk", 1000, 250, 400
+)
 
 
 class UpstreamRecords(RuleBasedStateMachine):
