Count the objective from a caller's first attempt, and leave most requests time to run in it

A caller that comes back after a refusal was taken for a new one, though its objective counts from its first attempt, and so took slots for answers that were late already. The bound on waits left the mean time of a request, within which 4 in 10 don't end.

Change: what a caller has spent is the usual deadline of its route less the one it names; the wait that the objective allows leaves 1.5 times the mean time. Callers that come back still get each free slot, and wait as before while slots get free.

--- a/balsamhead/mesh/_caller.py
+++ b/balsamhead/mesh/_caller.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+from balsamhead.mesh._attempts import SpentTime
 from balsamhead.mesh._calls import Answer, Call, Lost, Outcome, Refused
 from balsamhead.mesh._choice import Candidate, Choice, choose
 from balsamhead.mesh._fairness import RankFairness
@@ -64,6 +65,7 @@
     __slots__ = (
         "arrivals",
         "maybe_run",
+        "objective_at",
         "patience_ends_at",
         "request_id",
         "route",
@@ -81,6 +83,8 @@
         self.maybe_run = False
         #: less urgent requests go to the same service
         self.urgent = False
+        #: time until which its answer has its full worth, in s of the loop's clock
+        self.objective_at = 0.0
         #: time until which it may wait for a slot, in s of the loop's clock
         self.patience_ends_at = 0.0
 
@@ -114,6 +118,7 @@
         self._table: RouteTable | None = None
         self._answered = 0
         self._fairness = RankFairness()
+        self._spent = SpentTime()
         #: requests are refused, since the node ends before they would
         self.stopping = False
 
@@ -143,6 +148,9 @@
         service = self._parts.deal(route)
         self._budget.count_request(service, self._loop.time())
         try:
+            trace.objective_at = (
+                request.read_at + route.objective_s - self._spent.estimate(route.name, wait_s)
+            )
             trace.urgent = self._fairness.is_urgent(service, route.priority)
             trace.patience_ends_at = request.read_at + get_patience(
                 objective_s=route.objective_s, wait_s=ends_at - request.read_at, urgent=trace.urgent
@@ -168,7 +176,7 @@
         kept: Answer | None = None
         full = 0
         while len(trace.tried) - full < _MAX_TRIES:
-            found = self._choose(request, route, service, excluded, ends_at, trace)
+            found = self._choose(route, service, excluded, ends_at, trace)
             if isinstance(found, Refused):
                 code, retry_after_s = found.code, found.retry_after_s or retry_after_s
                 break
@@ -229,7 +237,6 @@
 
     def _choose(
         self,
-        request: Request,
         route: Route,
         service: str,
         excluded: set[str],
@@ -256,7 +263,7 @@
         if found is None:
             return Refused("upstreams-excluded")
         left_ms = (ends_at - now) * 1000
-        objective_ms = (request.read_at + route.objective_s - now) * 1000
+        objective_ms = (trace.objective_at - now) * 1000
         room_ms = get_room(
             objective_ms=objective_ms,
             patience_ms=(trace.patience_ends_at - now) * 1000,
@@ -294,7 +301,7 @@
             version=found.version,
             caller_service=self._cfg.service,
             left_ms=max(1, int((ends_at - now) * 1000)),
-            objective_ms=int((request.read_at + route.objective_s - now) * 1000),
+            objective_ms=int((trace.objective_at - now) * 1000),
             patience_ms=int((trace.patience_ends_at - now) * 1000) if may_wait else 0,
             urgent=trace.urgent,
         )
--- a/balsamhead/mesh/_patience.py
+++ b/balsamhead/mesh/_patience.py
@@ -10,6 +10,8 @@
 _PATIENCE: Final = 0.4
 #: the same for a request that goes before less urgent ones
 _URGENT_PATIENCE: Final = 0.8
+#: factor on the mean time of a request within which most end
+_RUN_MARGIN: Final = 1.5
 #: part of its objective that a request is assumed to run at most, while slots get free
 _RUN_PART: Final = 0.5
 
@@ -42,6 +44,6 @@
     :param run_ms: mean time of a request at the upstream.
     """
     if bound_by_objective:
-        return min(objective_ms, left_ms) - run_ms
+        return min(objective_ms, left_ms) - run_ms * _RUN_MARGIN
     run_ms = min(run_ms, max(objective_ms, 0.0) * _RUN_PART)
     return min(patience_ms, left_ms) - run_ms
