Log what a refusal was decided from; seed the nodes that tests run

request-failed named the nodes that were tried, not why none would do: an operator could not tell a full service from stale knowledge of it. It now holds the version in force and, of the last choice, the node, the expected wait, the longest one allowed, the age of the load and how many upstreams were looked at. What is logged of a request has a module of its own.

--- a/balsamhead/mesh/_caller.py
+++ b/balsamhead/mesh/_caller.py
@@ -13,6 +13,7 @@
 from balsamhead.mesh._patience import get_patience, get_room
 from balsamhead.mesh._routes import RouteTable, WeightedParts
 from balsamhead.mesh._server import Reply, Request
+from balsamhead.mesh._trace import Decision, Trace
 from balsamhead.mesh.model import Config, Route, RouteKind
 from balsamhead.platform.headers import encode_retry_after, read_caller_fields
 from balsamhead.util.heads import FramingError
@@ -59,36 +60,6 @@
 _FAILURE_PART: Final = 0.2
 
 
-class _Trace:
-    """Hold what was tried for a request, for the log."""
-
-    __slots__ = (
-        "arrivals",
-        "maybe_run",
-        "objective_at",
-        "patience_ends_at",
-        "request_id",
-        "route",
-        "tried",
-        "urgent",
-    )
-
-    def __init__(self, request_id: bytes) -> None:
-        self.request_id = request_id.decode("latin-1")
-        self.route = ""
-        self.tried: list[str] = []
-        #: upstreams that got it
-        self.arrivals = 0
-        #: an upstream may have run it
-        self.maybe_run = False
-        #: less urgent requests go to the same service
-        self.urgent = False
-        #: time until which its answer has its full worth, in s of the loop's clock
-        self.objective_at = 0.0
-        #: time until which it may wait for a slot, in s of the loop's clock
-        self.patience_ends_at = 0.0
-
-
 class CallerSide:
     """Answer the requests that begin on this VM."""
 
@@ -132,7 +103,7 @@
             fields = read_caller_fields(request.start.values)
         except FramingError:
             return Reply(400)
-        trace = _Trace(fields.request_id)
+        trace = Trace(fields.request_id)
         if self._table is None:
             return self._refuse(trace, "config-unknown", _RETRY_AFTER_S)
         if self.stopping:
@@ -168,7 +139,7 @@
         return reply
 
     async def _carry(
-        self, request: Request, route: Route, service: str, ends_at: float, trace: _Trace
+        self, request: Request, route: Route, service: str, ends_at: float, trace: Trace
     ) -> Reply:
         excluded: set[str] = set()
         retry_after_s = _RETRY_AFTER_S
@@ -211,7 +182,7 @@
             return self._fail(trace, code, 504 if code == "deadline-passed" else 502)
         return self._refuse(trace, code, retry_after_s)
 
-    def _may_repeat(self, outcome: Outcome, route: Route, service: str, trace: _Trace) -> bool:
+    def _may_repeat(self, outcome: Outcome, route: Route, service: str, trace: Trace) -> bool:
         if isinstance(outcome, Lost) and (
             route.kind is RouteKind.ONCE or outcome.code == "deadline-passed"
         ):
@@ -221,7 +192,7 @@
         return self._budget.take(service, self._loop.time())
 
     def _may_better(
-        self, answer: Answer, route: Route, service: str, ends_at: float, trace: _Trace
+        self, answer: Answer, route: Route, service: str, ends_at: float, trace: Trace
     ) -> bool:
         """Answer whether a failure of the upstream is to be tried again elsewhere."""
         if answer.status < 500 or answer.rest is not None or route.kind is RouteKind.ONCE:
@@ -241,7 +212,7 @@
         service: str,
         excluded: set[str],
         ends_at: float,
-        trace: _Trace,
+        trace: Trace,
     ) -> Choice | Refused:
         now = self._loop.time()
         versions = self._directory.list_versions(service, now)
@@ -271,6 +242,7 @@
             run_ms=found.candidate.service_ms,
             bound_by_objective=found.candidate.saturated and not trace.urgent,
         )
+        trace.decided = Decision(found, room_ms, len(rows))
         if found.wait_ms > max(room_ms, 0.0) and found.wait_ms > 0:
             return Refused("upstreams-busy", min(found.wait_ms / 1000, left_ms / 3000))
         return found
@@ -282,7 +254,7 @@
         service: str,
         found: Candidate,
         ends_at: float,
-        trace: _Trace,
+        trace: Trace,
         *,
         may_wait: bool,
     ) -> Outcome:
@@ -325,7 +297,7 @@
 
     # -- answers -----------------------------------------------------------------------------
 
-    def _deliver(self, request: Request, route: Route, answer: Answer, trace: _Trace) -> Reply:
+    def _deliver(self, request: Request, route: Route, answer: Answer, trace: Trace) -> Reply:
         size = len(request.body) + max(answer.length, len(answer.body))
         known = self._sizes.get(route.name, float(size))
         self._sizes[route.name] = known + _SIZE_WEIGHT * (size - known)
@@ -351,15 +323,15 @@
             rest=answer.rest,
         )
 
-    def _refuse(self, trace: _Trace, code: str, retry_after_s: float) -> Reply:
+    def _refuse(self, trace: Trace, code: str, retry_after_s: float) -> Reply:
         self._log(trace, code, 503)
         return Reply(503, headers=encode_retry_after(retry_after_s))
 
-    def _fail(self, trace: _Trace, code: str, status: int) -> Reply:
+    def _fail(self, trace: Trace, code: str, status: int) -> Reply:
         self._log(trace, code, status)
         return Reply(status)
 
-    def _log(self, trace: _Trace, code: str, status: int) -> None:
+    def _log(self, trace: Trace, code: str, status: int) -> None:
         self._metrics.count("requests_failed", code)
         logger.info(
             "request-failed",
@@ -370,5 +342,7 @@
                 "code": code,
                 "tried": trace.tried,
                 "arrivals": trace.arrivals,
+                "config": self._table.version if self._table is not None else None,
+                "decided": trace.decided.describe() if trace.decided is not None else None,
             },
         )
--- a/balsamhead/mesh/_choice.py
+++ b/balsamhead/mesh/_choice.py
@@ -61,6 +61,8 @@
     saturated: bool = False
     #: share of its last requests that it failed, lost or shed, 0 to 1
     faults: float = 0.0
+    #: age of what is known of its load, in s
+    age_s: float = 0.0
 
 
 class Choice(NamedTuple):
--- a/balsamhead/mesh/_directory.py
+++ b/balsamhead/mesh/_directory.py
@@ -160,6 +160,7 @@
             ),
             saturated=peer.load.saturated,
             faults=peer.load.faults,
+            age_s=now - peer.heard_load_at,
         )
 
     def _make_own(self, priority: int) -> Candidate:
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -80,12 +80,19 @@
 class MeshNode(FleetEvents):
     """Hold the parts of a node and pass on what they tell each other."""
 
-    def __init__(self, cfg: MeshSettings, *, records: PlatformRecords, store: StoreClient) -> None:
+    def __init__(
+        self,
+        cfg: MeshSettings,
+        *,
+        records: PlatformRecords,
+        store: StoreClient,
+        rng: random.Random | None = None,
+    ) -> None:
         self._cfg = cfg
         self._records = records
         self._store = store
         self._loop = asyncio.get_running_loop()
-        rng = random.Random(f"{cfg.node}/{time.time_ns()}")
+        rng = rng or random.Random(f"{cfg.node}/{time.time_ns()}")
         self._own = NodeRecord(
             name=cfg.node,
             incarnation=time.time_ns() // 1_000_000,
--- a/balsamhead/mesh/_routes.py
+++ b/balsamhead/mesh/_routes.py
@@ -14,6 +14,7 @@
     """Find routes by host and longest prefix."""
 
     def __init__(self, config: Config) -> None:
+        self.version = config.version
         self._by_host: dict[str, dict[str, Route]] = {}
         self._lengths: dict[str, list[int]] = {}
         for route in config.routes.values():
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -11,10 +11,20 @@
 
 #: modules of the mesh path, lowest first; each may import those before it
 LAYERS = (
-    ("_model", "_calls", "_metrics", "_budget", "_fairness", "_records", "_settings"),
+    (
+        "_attempts",
+        "_budget",
+        "_calls",
+        "_fairness",
+        "_metrics",
+        "_model",
+        "_patience",
+        "_records",
+        "_settings",
+    ),
     ("model",),
     ("_frames", "_routes", "_choice", "_shares", "_spread"),
-    ("_server", "_exchange", "_link"),
+    ("_server", "_exchange", "_link", "_trace"),
     ("_peers", "_upstream"),
     ("_fleet", "_evidence"),
     ("_directory", "_rollouts", "_sync"),
--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
@@ -214,7 +215,9 @@
     ) -> Member:
         RUNNING_AS.set(cfg.peer_address.split(":")[0])
         store = StoreClient(cfg.store_address)
-        node = MeshNode(cfg, records=PlatformRecords(store), store=store)
+        node = MeshNode(
+            cfg, records=PlatformRecords(store), store=store, rng=random.Random(cfg.node)
+        )
         task = asyncio.get_running_loop().create_task(node.run())
         if upstream is None:
             upstream = FakeUpstream(cfg, version=version)
