Send what runs at most once on no connection that was idle for more than 0.2 s

Connections were trusted for 1 s. Test: test_request_that_runs_at_most_once_goes_on_no_connection_that_was_idle fails at 1 s.

--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -33,7 +33,7 @@
 #: announcements that may be missed before the upstream counts as gone
 _MISSED_ANNOUNCEMENTS: Final = 3
 #: idle time from which a connection isn't trusted with a request that runs at most once, in s
-_TRUSTED_IDLE_S: Final = 1.0
+_TRUSTED_IDLE_S: Final = 0.2
 #: time without a free slot from which requests wait no longer than their objective allows, in s
 _SATURATED_S: Final = 0.5
 #: longest time to come back that a refusal names, in s
--- a/tests/test_mesh/test_fleet.py
+++ b/tests/test_mesh/test_fleet.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from balsamhead.mesh._server import Reply, Request
 from standin.virtual import RUNNING_AS
 from tests.test_mesh.builders import (
@@ -587,3 +589,36 @@
         await asyncio.gather(*hogs)
 
     run_virtual(main)
+
+
+def test_request_that_runs_at_most_once_goes_on_no_connection_that_was_idle() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE)
+        for pause_s in (0.0, 0.05, 0.3):
+            await asyncio.sleep(pause_s)
+            assert (await ask(ONE, "/accept/1", method="POST")).status == 200
+        first, second, third = [row.peer for row in fleet.members[1].upstream.seen]
+        assert first == second
+        assert third != second
+
+    run_virtual(main)
+
+
+def test_line_of_a_refusal_holds_what_it_was_decided_from(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE)
+        await asyncio.gather(*(ask(ONE) for _ in range(100)))
+
+    run_virtual(main)
+    rows = [row for row in caplog.records if row.message == "request-failed"]
+    line = next(vars(row) for row in rows if vars(row)["code"] == "upstreams-busy")
+    assert line["config"] == 1
+    assert line["decided"]["node"] == "node-1"
+    assert line["decided"]["wait_ms"] > line["decided"]["room_ms"]
+    assert line["decided"]["load_age_s"] == 0.0
