--- a/balsamhead/mesh/_shares.py
+++ b/balsamhead/mesh/_shares.py
@@ -40,7 +40,7 @@
         if known is not None and _weigh(known) >= _weigh(rollout):
             return False
         if known is not None and known.order < rollout.order and known.phase is Phase.RUNNING:
-            # another order ends the trial of a version that was not yet completed
+            # another order replaces the rollout of a version that was not yet completed
             self._withdraw(known)
         if rollout.phase is Phase.ROLLED_BACK:
             self._withdraw(rollout)
--- a/tests/test_mesh/test_fleet.py
+++ b/tests/test_mesh/test_fleet.py
@@ -622,3 +622,19 @@
     assert line["decided"]["node"] == "node-1"
     assert line["decided"]["wait_ms"] > line["decided"]["room_ms"]
     assert line["decided"]["load_age_s"] == 0.0
+
+
+def test_upstream_that_joins_gets_calls_of_other_nodes_beside_a_fast_one() -> None:
+    async def main() -> None:
+        fleet, ask = FleetInMemory(), Sender()
+        await fleet.start(ONE, THREE)
+        fleet.members[1].upstream.work_s = 0.01
+        for _ in range(60):
+            await ask(THREE)
+        joined = await fleet.add(TWO)
+        await asyncio.sleep(3.0)
+        for _ in range(10):
+            await ask(THREE)
+        assert joined.upstream.seen
+
+    run_virtual(main)
