Log where a request waited and how far an upstream's slots were used

A failed queue-check showed the nodes that were tried, but not how long it waited at each, so that waiting at one upstream beside free slots, runs that last too long, and a true lack of slots looked the same.

request-failed and the sampled request-answered hold each attempt with its time and outcome. Each node logs the use of its upstream's slots once a second (slot-usage) and serves slot_wait_seconds and exchange_seconds as histograms.

--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -45,6 +45,8 @@
 
 #: interval of the periodic tasks (evidence reports, rollout decisions), in s
 _TICK_INTERVAL_S: Final = 0.2
+#: interval at which the use of the upstream's slots is logged, in s
+_SLOT_USAGE_INTERVAL_S: Final = 1.0
 #: longest time that readiness waits for links to the known nodes, in s
 _READY_LINK_TIMEOUT_S: Final = 0.8
 #: shortest time that a stopping node keeps its caller port open, in s
@@ -111,6 +113,7 @@
             announce_interval_s=cfg.announce_interval,
             on_change=self._upstream_changed,
             on_result=self._outcome_counts.add,
+            metrics=self._metrics,
         )
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
         self._budget = RetryBudget(
@@ -154,6 +157,7 @@
         self._announced_upstream: UpstreamView | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._was_ready = False
+        self._slot_usage_due_at = 0.0
         self._timers: list[asyncio.TimerHandle] = []
 
     # -- lifecycle -------------------------------------------------------------------------
@@ -329,6 +333,9 @@
             self._upstream_changed()
         self._report_evidence()
         self._advance_rollouts()
+        if self._loop.time() >= self._slot_usage_due_at:
+            self._slot_usage_due_at = self._loop.time() + _SLOT_USAGE_INTERVAL_S
+            self._local_upstream.log_slot_usage()
 
     def _upstream_changed(self) -> None:
         upstream_view = self._describe_upstream()
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -10,7 +10,7 @@
 from balsamhead.mesh._fairness import PriorityFairness
 from balsamhead.mesh._prior_attempts import PriorAttemptTime
 from balsamhead.mesh._queue_timeout import compute_max_wait, compute_queue_timeout
-from balsamhead.mesh._request_trace import Decision, RequestTrace
+from balsamhead.mesh._request_trace import Attempt, Decision, RequestTrace
 from balsamhead.mesh._routes import RouteTable, WeightedRoundRobin
 from balsamhead.mesh._selection import Candidate, Selection, select_upstream
 from balsamhead.mesh._server import Reply, Request
@@ -160,9 +160,12 @@
                 break
             node = selection.candidate.node
             may_wait = selection.wait_ms > 0 or full_nodes >= _MAX_FULL_NODES
+            sent_at = self._loop.time()
             outcome = await self._send(
                 request, route, service, selection.candidate, deadline, trace, may_wait=may_wait
             )
+            took_ms = (self._loop.time() - sent_at) * 1000
+            trace.attempts.append(Attempt(node, took_ms, _describe_outcome(outcome)))
             if isinstance(outcome, Refused) and outcome.code == "upstream-full" and not may_wait:
                 # The refusal carried the upstream's load, so the next selection takes it into
                 # account and selects another node or lets the request wait.
@@ -336,6 +339,7 @@
                     "route": route.name,
                     "status": response.status,
                     "tried": trace.attempted_nodes,
+                    "attempts": trace.describe_attempts(),
                     "took_ms": round((self._loop.time() - request.received_at) * 1000, 1),
                 },
             )
@@ -366,6 +370,7 @@
                 "status": status,
                 "code": code,
                 "tried": trace.attempted_nodes,
+                "attempts": trace.describe_attempts(),
                 "arrivals": trace.deliveries,
                 "config": self._route_table.version if self._route_table is not None else None,
                 "decided": (
@@ -373,3 +378,7 @@
                 ),
             },
         )
+
+
+def _describe_outcome(outcome: Outcome) -> str:
+    return str(outcome.status) if isinstance(outcome, UpstreamResponse) else outcome.code
--- a/balsamhead/mesh/_request_trace.py
+++ b/balsamhead/mesh/_request_trace.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from balsamhead.mesh._selection import Selection
 
-__all__ = ("Decision", "RequestTrace")
+__all__ = ("Attempt", "Decision", "RequestTrace")
 
 #: age that is logged for a load that was never reported, in s
 _MAX_LOAD_AGE_S: Final = 999.0
@@ -35,11 +35,22 @@
         }
 
 
+class Attempt(NamedTuple):
+    """A node that a request was sent to, and how that ended."""
+
+    node: str
+    #: time until the outcome was known, in ms
+    took_ms: float
+    #: code of the outcome, or the status of the response
+    outcome: str
+
+
 class RequestTrace:
     """State of a request while it is routed."""
 
     __slots__ = (
         "attempted_nodes",
+        "attempts",
         "deliveries",
         "last_decision",
         "may_have_run",
@@ -54,6 +65,8 @@
         self.request_id = request_id.decode("latin-1")
         self.route = ""
         self.attempted_nodes: list[str] = []
+        #: the attempts that have ended
+        self.attempts: list[Attempt] = []
         #: the last selection and its inputs
         self.last_decision: Decision | None = None
         #: number of upstreams that received the request
@@ -66,3 +79,8 @@
         self.objective_deadline = 0.0
         #: until when the request may wait for a slot, in s of the loop's clock
         self.queue_deadline = 0.0
+
+    def describe_attempts(self) -> list[str]:
+        """Return the attempts as a field of a log line; the last one may not have ended."""
+        ended = [f"{row.node} {row.took_ms:.1f} {row.outcome}" for row in self.attempts]
+        return ended + [f"{node} unfinished" for node in self.attempted_nodes[len(ended) :]]
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -17,12 +17,15 @@
     UpstreamResponse,
 )
 from balsamhead.mesh._queue_timeout import compute_max_wait
+from balsamhead.mesh._slot_usage import SlotUsage
 from balsamhead.mesh._upstream_connection import UpstreamConnection
 from balsamhead.mesh.model import Load, RouteKind, UpstreamRecord, UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamhead.mesh._metrics import MeshMetrics
+
 __all__ = ("CallResult", "LocalUpstream")
 
 logger = logging.getLogger(__name__)
@@ -97,6 +100,7 @@
         announce_interval_s: float,
         on_change: Callable[[], None],
         on_result: Callable[[CallResult], None],
+        metrics: MeshMetrics,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
@@ -104,6 +108,7 @@
         self._announcement_timeout_s = announce_interval_s * _MISSED_ANNOUNCEMENTS + 0.5
         self._on_change = on_change
         self._on_result = on_result
+        self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._idle_connections: list[UpstreamConnection] = []
         self._active_connections: set[UpstreamConnection] = set()
@@ -121,6 +126,7 @@
         self._failure_rate = 0.0
         #: when a slot was last known to be free, in s of the loop's clock
         self._last_free_at = self._loop.time()
+        self._slot_usage = SlotUsage(self._loop.time())
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
 
@@ -215,6 +221,22 @@
         """Return whether requests are queued and no slot has been free for some time."""
         return bool(self._queue) and self._loop.time() - self._last_free_at > _SATURATION_S
 
+    def log_slot_usage(self) -> None:
+        """Log the use of the slots since the last call, if there were requests."""
+        usage = self._slot_usage.drain(self._loop.time())
+        if self.record is None or not (usage.granted or usage.denied):
+            return
+        logger.info(
+            "slot-usage",
+            extra={
+                "upstream": self.record.id,
+                "slots": self.record.slots,
+                "service_ms": round(self.service_ms, 1),
+                "queued": len(self._queue),
+                **usage._asdict(),
+            },
+        )
+
     # -- calls -------------------------------------------------------------------------------
 
     async def run(self, call: Call, body: bytes) -> Outcome:
@@ -229,7 +251,8 @@
             if not granted:
                 return self._refuse("upstream-busy")
         else:
-            self.running += 1
+            self._set_running(self.running + 1)
+            self._record_wait(0.0, granted=True)
         if call.route_kind is RouteKind.ONCE:
             # A request that must run at most once is not cancelled when its caller disconnects.
             task = self._loop.create_task(self._exchange(call, body, deadline))
@@ -275,9 +298,12 @@
         self._last_arrival_number += 1
         waiter = _Waiter(call.priority, self._last_arrival_number, future)
         heapq.heappush(self._queue, waiter)
+        started_at = self._loop.time()
         timer = self._loop.call_later(max(0.0, self._compute_max_wait(call)) / 1000, _deny, future)
         try:
-            return await future
+            granted = await future
+            self._record_wait(self._loop.time() - started_at, granted=granted)
+            return granted
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and future.result():
                 self._release_slot()
@@ -292,7 +318,7 @@
         while self._queue and self.running < slots and self.accepts_requests():
             waiter = heapq.heappop(self._queue)
             if not waiter.future.done():
-                self.running += 1
+                self._set_running(self.running + 1)
                 waiter.future.set_result(True)
         if self.running < slots:
             self._last_free_at = self._loop.time()
@@ -304,9 +330,17 @@
             _deny(waiter.future)
 
     def _release_slot(self) -> None:
-        self.running -= 1
+        self._set_running(self.running - 1)
         self._start_queued()
 
+    def _set_running(self, running: int) -> None:
+        self.running = running
+        self._slot_usage.set_in_use(running, self._loop.time())
+
+    def _record_wait(self, wait_s: float, *, granted: bool) -> None:
+        self._slot_usage.record_wait(wait_s, granted=granted)
+        self._metrics.observe("slot_wait_seconds", wait_s, "granted" if granted else "denied")
+
     async def _exchange(self, call: Call, body: bytes, deadline: float) -> Outcome:
         slot_hold = _SlotHold(self._release_slot)
         try:
@@ -364,7 +398,9 @@
             timer.cancel()
         if isinstance(outcome, UpstreamResponse) and outcome.body_stream is not None:
             outcome.body_stream.on_cancel = lambda: conn.cancel("caller-left")
-        self._record_outcome(call, record, outcome, (self._loop.time() - started_at) * 1000)
+        took_s = self._loop.time() - started_at
+        self._metrics.observe("exchange_seconds", took_s, call.route_kind.value)
+        self._record_outcome(call, record, outcome, took_s * 1000)
         return outcome
 
     def _update_failure_rate(self, *, failed: bool) -> None:
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -21,6 +21,7 @@
         "_queue_timeout",
         "_records",
         "_settings",
+        "_slot_usage",
     ),
     ("model",),
     ("_frames", "_routes", "_selection", "_traffic_split", "_state_history"),
--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -113,6 +113,8 @@
         self.version = version
         self.slots = slots
         self.service_time_s = 0.05
+        #: returns the time of the next request, in s
+        self.draw_service_time: Callable[[], float] = lambda: self.service_time_s
         self.born = 1000
         self.state = "ready"
         self.sequence = 0
@@ -177,7 +179,7 @@
         self.running += 1
         self.max_running = max(self.max_running, self.running)
         try:
-            await asyncio.sleep(self.service_time_s)
+            await asyncio.sleep(self.draw_service_time())
             other = self.make_custom_reply(request)
             if other is not None:
                 return other
--- a/tests/test_mesh/test_upstream_machine.py
+++ b/tests/test_mesh/test_upstream_machine.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from balsamhead.mesh._calls import Call, Refused
+from balsamhead.mesh._metrics import MeshMetrics
 from balsamhead.mesh._upstream import CallResult, LocalUpstream
 from balsamhead.mesh.model import RouteKind, UpstreamRecord, UpstreamState
 from standin.virtual_network import VirtualLoop
@@ -37,6 +38,7 @@
             announce_interval_s=1.5,
             on_change=lambda: None,
             on_result=self.results.append,
+            metrics=MeshMetrics(),
         )
 
     def run(self, coro: Coroutine[Any, Any, Any]) -> Any:
