Keep a small window of each bulk response in flight on a link

What callers saw: queue-check was late or refused from the first second on, with free upstreams in the fleet, while offer-accept at the same upstreams was served.

Cause: a node handed up to 256 KiB of a response to its link at once. Calls, refusals, credits and short responses queued behind it, on the connection and on the machine's link: a bulk response of 90 kB takes 103 ms on 7 Mbit/s, and the nodes that serve bulk fill half of their link's rate. Calls that upstreams make went there, so each queue-check held its slot for these waits as well.

Change: 8 KiB a frame, and 16 KiB of a response in flight until the peer grants credit, which it does for each chunk now. A peer of an earlier release grants it for 64 KiB only; it is known by granting nothing within 0.1 s, and gets the window that it expects. The window lives in _flow_control.py, and the two ways of sending the rest of a response are one.

The stand-in network can limit the rate of a host; a protocol is now called in the context of its own host, since a connection that a node opened on receiving a frame counted as one of the sender's host.

--- a/balsamhead/mesh/_link.py
+++ b/balsamhead/mesh/_link.py
@@ -19,6 +19,7 @@
     ResponseTruncatedError,
     UpstreamResponse,
 )
+from balsamhead.mesh._flow_control import CHUNK_BYTES, PeerCredit, SendWindow, grant_on_read
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header, encode_frame, extract_frames
 from balsamhead.mesh.model import Load
 
@@ -29,10 +30,8 @@
 
 logger = logging.getLogger(__name__)
 
-#: largest part of a body in one frame, in bytes
-_CHUNK_BYTES: Final = 64 << 10
-#: flow-control window of a response: bytes that may be sent before the peer has read them
-_WINDOW_BYTES: Final = 256 << 10
+#: largest part of a request's body in one frame, in bytes
+_REQUEST_CHUNK_BYTES: Final = 64 << 10
 #: time after which the kernel drops a connection with unacknowledged data, in ms
 _USER_TIMEOUT_MS: Final = 2000
 #: SO_LINGER value with a time of zero: unsent data is discarded and the peer gets a reset
@@ -125,7 +124,8 @@
         self._pending_calls: dict[int, _PendingCall] = {}
         self._partial_calls: dict[int, _PartialCall] = {}
         self._running_calls: dict[int, asyncio.Task[None]] = {}
-        self._send_windows: dict[int, _SendWindow] = {}
+        self._send_windows: dict[int, SendWindow] = {}
+        self._peer_credit = PeerCredit()
         self._last_stream_id = 0
         self._close_reason = ""
         self.dialled = dialled
@@ -214,9 +214,10 @@
         pending = _PendingCall(self._loop.create_future(), call.priority)
         self._pending_calls[stream_id] = pending
         header = _CallHeader(call, len(body))
-        self.send(FrameKind.CALL, stream_id, header, body[:_CHUNK_BYTES])
-        for start in range(_CHUNK_BYTES, len(body), _CHUNK_BYTES):
-            self.send(FrameKind.CALL_BODY, stream_id, None, body[start : start + _CHUNK_BYTES])
+        size = _REQUEST_CHUNK_BYTES
+        self.send(FrameKind.CALL, stream_id, header, body[:size])
+        for start in range(size, len(body), size):
+            self.send(FrameKind.CALL_BODY, stream_id, None, body[start : start + size])
         try:
             return await pending.future
         except asyncio.CancelledError:
@@ -285,16 +286,10 @@
         return NotExecuted(code) if frame.kind == FrameKind.REJECTED else OutcomeUnknown(code)
 
     def _attach_flow_control(self, stream_id: int, pipe: BodyPipe) -> None:
-        granted = 0
+        def send_credit(size: int) -> None:
+            self.send(FrameKind.CREDIT, stream_id, None, size.to_bytes(4, "big"))
 
-        def grant() -> None:
-            nonlocal granted
-            if pipe.read_bytes - granted >= _WINDOW_BYTES // 4:
-                size = pipe.read_bytes - granted
-                granted = pipe.read_bytes
-                self.send(FrameKind.CREDIT, stream_id, None, size.to_bytes(4, "big"))
-
-        pipe.on_read = grant
+        grant_on_read(pipe, send_credit)
         pipe.on_cancel = lambda: self.cancel(stream_id)
 
     def _handle_body_frame(self, frame: Frame) -> None:
@@ -339,12 +334,13 @@
         outcome = await self._handler.run_call(call, body)
         match outcome:
             case UpstreamResponse(body_stream=None):
-                self._send_response(stream_id, outcome, complete=len(outcome.body) <= _CHUNK_BYTES)
-                if len(outcome.body) > _CHUNK_BYTES:
-                    await self._send_chunks(stream_id, outcome.body)
+                complete = len(outcome.body) <= CHUNK_BYTES
+                self._send_response(stream_id, outcome, complete=complete)
+                if not complete:
+                    await self._send_rest(stream_id, outcome)
             case UpstreamResponse():
                 self._send_response(stream_id, outcome, complete=False)
-                await self._relay_body(stream_id, outcome)
+                await self._send_rest(stream_id, outcome)
             case Refused(code=code, retry_after_s=retry_after_s, load=load):
                 self.send(FrameKind.REFUSED, stream_id, _RefusedHeader(code, retry_after_s, load))
             case NotExecuted(code=code):
@@ -361,65 +357,29 @@
             complete,
             self._handler.get_load(),
         )
-        self.send(FrameKind.RESPONSE, stream_id, header, response.body[:_CHUNK_BYTES])
-
-    async def _send_chunks(self, stream_id: int, body: bytes) -> None:
-        window = self._send_windows[stream_id] = _SendWindow(_WINDOW_BYTES)
-        try:
-            for start in range(_CHUNK_BYTES, len(body), _CHUNK_BYTES):
-                chunk = body[start : start + _CHUNK_BYTES]
-                await window.acquire(len(chunk))
-                await self._writable.wait()
-                self.send(FrameKind.RESPONSE_BODY, stream_id, None, chunk)
-            self.send(FrameKind.RESPONSE_END, stream_id)
-        finally:
-            del self._send_windows[stream_id]
+        self.send(FrameKind.RESPONSE, stream_id, header, response.body[:CHUNK_BYTES])
 
-    async def _relay_body(self, stream_id: int, response: UpstreamResponse) -> None:
+    async def _send_rest(self, stream_id: int, response: UpstreamResponse) -> None:
+        window = self._send_windows[stream_id] = SendWindow(self._peer_credit)
         body_stream = response.body_stream
-        assert body_stream is not None
-        window = self._send_windows[stream_id] = _SendWindow(_WINDOW_BYTES)
         try:
-            for start in range(_CHUNK_BYTES, len(response.body), _CHUNK_BYTES):
-                chunk = response.body[start : start + _CHUNK_BYTES]
-                await window.acquire(len(chunk))
-                self.send(FrameKind.RESPONSE_BODY, stream_id, None, chunk)
-            while chunk := await body_stream.read():
-                await window.acquire(len(chunk))
-                await self._writable.wait()
-                self.send(FrameKind.RESPONSE_BODY, stream_id, None, chunk)
+            await self._send_body(stream_id, window, response.body[CHUNK_BYTES:])
+            while body_stream is not None and (part := await body_stream.read()):
+                await self._send_body(stream_id, window, part)
             self.send(FrameKind.RESPONSE_END, stream_id)
         except ResponseTruncatedError:
             self.send(FrameKind.RESPONSE_TRUNCATED, stream_id)
         finally:
-            body_stream.cancel()
+            if body_stream is not None:
+                body_stream.cancel()
             del self._send_windows[stream_id]
 
-
-class _SendWindow:
-    """Limit the bytes of a response that are sent before the peer has read them."""
-
-    def __init__(self, size: int) -> None:
-        self._available = size
-        self._changed = asyncio.Event()
-        self._unlimited = False
-
-    def grant(self, size: int) -> None:
-        """Enlarge the window by the bytes that the peer has read."""
-        self._available += size
-        self._changed.set()
-
-    def remove_limit(self) -> None:
-        """Remove the limit, so that no sender keeps waiting after the link has closed."""
-        self._unlimited = True
-        self._changed.set()
-
-    async def acquire(self, size: int) -> None:
-        """Wait until the window is open, then subtract the size of a chunk."""
-        while self._available <= 0 and not self._unlimited:
-            self._changed.clear()
-            await self._changed.wait()
-        self._available -= size
+    async def _send_body(self, stream_id: int, window: SendWindow, part: bytes) -> None:
+        for start in range(0, len(part), CHUNK_BYTES):
+            chunk = part[start : start + CHUNK_BYTES]
+            await window.acquire(len(chunk))
+            await self._writable.wait()
+            self.send(FrameKind.RESPONSE_BODY, stream_id, None, chunk)
 
 
 def _fail_pending_call(pending: _PendingCall, outcome: Outcome) -> None:
--- a/standin/virtual_network.py
+++ b/standin/virtual_network.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import selectors
-from contextvars import ContextVar
+from contextvars import ContextVar, copy_context
 from typing import TYPE_CHECKING, Any, Final
 
 if TYPE_CHECKING:
@@ -70,6 +70,9 @@
         self._unread: list[bytes] | None = None
         self._last_arrival = 0.0
         self.local, self.peer = local, peer
+        #: context of this end's host, in which its protocol is called
+        self.context = copy_context()
+        self.context.run(CURRENT_HOST.set, local.split(":")[0])
         self.other: MemoryTransport | None = None
         #: data written while the path is held; discarded when the connection is closed or aborted
         self.held_data: list[bytes] = []
@@ -96,7 +99,9 @@
         if self._loop.network.is_path_held(self):
             self.held_data.append(bytes(data))
             return
-        self._loop.call_at(self._next_arrival(), other.receive, bytes(data))
+        self._loop.call_at(
+            self._next_arrival(len(data)), other.receive, bytes(data), context=other.context
+        )
 
     def receive(self, data: bytes) -> None:
         """Pass data from the other end to the protocol, or buffer it while reading is paused."""
@@ -116,7 +121,7 @@
         """Pass the buffered data to the protocol and stop buffering."""
         chunks, self._unread = self._unread, None
         for data in chunks or ():
-            self._loop.call_soon(self.receive, data)
+            self._loop.call_soon(self.receive, data, context=self.context)
 
     def is_reading(self) -> bool:
         """Return whether received data is passed to the protocol."""
@@ -143,14 +148,22 @@
             return
         self._is_closing = True
         self.held_data.clear()
-        self._loop.call_soon(self._notify_connection_lost, None)
+        self._loop.call_soon(self._notify_connection_lost, None, context=self.context)
         other = self.other
         if other is not None and not self.is_blackholed:
-            self._loop.call_at(self._next_arrival(), other.handle_peer_close, exc)
+            self._loop.call_at(
+                self._next_arrival(), other.handle_peer_close, exc, context=other.context
+            )
 
-    def _next_arrival(self) -> float:
-        """Return the arrival time of data sent now, later than that of all data sent before."""
-        self._last_arrival = max(self._loop.time() + _DELAY_S, self._last_arrival + _DELIVERY_GAP_S)
+    def _next_arrival(self, size: int = 0) -> float:
+        """Return the arrival time of data sent now, later than that of all data sent before.
+
+        :param size: size of the data, in bytes.
+        """
+        sent_at = self._loop.time()
+        if self.local.split(":")[0] != self.peer.split(":")[0]:
+            sent_at = self._loop.network.transmit(self.local.split(":")[0], size, sent_at)
+        self._last_arrival = max(sent_at + _DELAY_S, self._last_arrival + _DELIVERY_GAP_S)
         return self._last_arrival
 
     def handle_peer_close(self, exc: Exception | None) -> None:
@@ -186,6 +199,20 @@
         #: addresses to which a connect attempt gets no response
         self.unresponsive: set[str] = set()
         self.held_hosts: set[str] = set()
+        #: rate at which a host sends to others, in bytes/s; unlimited if it is not listed
+        self.send_rates: dict[str, float] = {}
+        self._idle_at: dict[str, float] = {}
+
+    def transmit(self, host: str, size: int, now: float) -> float:
+        """Return when a host has sent data, after all data that it sent before, on any connection.
+
+        :param size: size of the data, in bytes.
+        """
+        rate = self.send_rates.get(host)
+        if rate is None:
+            return now
+        self._idle_at[host] = max(now, self._idle_at.get(host, 0.0)) + size / rate
+        return self._idle_at[host]
 
     def hold(self, host: str) -> None:
         """Buffer the traffic between a host and all others; its traffic to itself passes."""
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -24,7 +24,7 @@
         "_slot_usage",
     ),
     ("model",),
-    ("_frames", "_routes", "_selection", "_traffic_split", "_state_history"),
+    ("_frames", "_flow_control", "_routes", "_selection", "_traffic_split", "_state_history"),
     ("_server", "_upstream_connection", "_link", "_request_trace"),
     ("_peers", "_upstream"),
     ("_link_manager", "_evidence"),
