Let the bulk responses of a node share what may be in flight

Change: all responses of a node together have 16 KiB in flight, and the oldest goes first, which ends each sooner than taking turns. Bytes without credit for 0.1 s no longer count, so that a reader that stalls holds up its own response only.

--- a/balsamhead/mesh/_flow_control.py
+++ b/balsamhead/mesh/_flow_control.py
@@ -1,6 +1,7 @@
-"""Limit the bytes of a streamed response that are in flight on a link.
+"""Limit the bytes of streamed responses that are in flight from a node.
 
-A node's link is shared by all its calls, and what is in flight delays whatever is sent after it.
+The link of a VM is shared by all calls of its node, and what is in flight delays whatever is sent
+after it.
 """
 
 from __future__ import annotations
@@ -13,71 +14,158 @@
 
     from balsamhead.mesh._calls import BodyPipe
 
-__all__ = ("CHUNK_BYTES", "PeerCredit", "SendWindow", "grant_on_read")
+__all__ = ("CHUNK_BYTES", "InFlightLimit", "PeerCredit", "SendWindow", "grant_on_read")
 
 #: largest part of a response's body in one frame, in bytes
 CHUNK_BYTES: Final = 8 << 10
-#: bytes of a response that may be in flight; one chunk on the way and one behind it
+#: bytes of one response that may be in flight
 _WINDOW_BYTES: Final = 2 * CHUNK_BYTES
-#: the same for a peer that grants credit in larger steps
+#: bytes of all responses of a node that may be in flight: one chunk on the way, one behind it
+_NODE_WINDOW_BYTES: Final = 2 * CHUNK_BYTES
+#: the window for a peer of an earlier release, which grants credit in larger steps
 _WIDE_WINDOW_BYTES: Final = 256 << 10
-#: smallest credit of a peer that grants it in larger steps, in bytes
-_WIDE_CREDIT_BYTES: Final = 64 << 10
-#: time without credit after which a peer is assumed to grant it in larger steps, in s
+#: smallest credit of such a peer, in bytes
+_LARGE_CREDIT_BYTES: Final = 64 << 10
+#: time without credit after which the bytes in flight are assumed to have arrived, in s
 _CREDIT_TIMEOUT_S: Final = 0.1
 
 
-class PeerCredit:
-    """Whether the peer of a link grants credit for each chunk.
+class InFlightLimit:
+    """Limit the bytes that all responses of a node have in flight; the oldest one goes first."""
 
-    Peers of an earlier release grant it in larger steps, and wait for more than one window.
-    """
+    def __init__(self) -> None:
+        self._in_flight = 0
+        self._response_count = 0
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+
+    def add_response(self) -> int:
+        """Return the number of a new response, which sets its place."""
+        self._response_count += 1
+        return self._response_count
+
+    async def acquire(self, response: int, size: int) -> None:
+        """Wait until fewer bytes than the limit are in flight, then add ``size``.
+
+        :param response: number of the response.
+        """
+        if self._in_flight >= _NODE_WINDOW_BYTES or self._waiters:
+            waiter = (response, asyncio.get_running_loop().create_future())
+            self._waiters.append(waiter)
+            try:
+                await waiter[1]
+            except asyncio.CancelledError:
+                self._waiters.remove(waiter)
+                self._wake_next()
+                raise
+            self._waiters.remove(waiter)
+        self._in_flight += size
+        self._wake_next()
+
+    def release(self, size: int) -> None:
+        """Subtract bytes that have arrived, or that are no longer waited for."""
+        self._in_flight -= size
+        self._wake_next()
+
+    def _wake_next(self) -> None:
+        if self._in_flight >= _NODE_WINDOW_BYTES:
+            return
+        pending = [waiter for waiter in self._waiters if not waiter[1].done()]
+        if pending:
+            min(pending, key=lambda waiter: waiter[0])[1].set_result(None)
+
+
+class PeerCredit:
+    """How the peer of a link grants credit."""
 
     def __init__(self) -> None:
-        self.granted_per_chunk = False
+        self._per_chunk = False
+        #: the peer is of an earlier release: it grants credit in steps larger than the window
+        self.in_large_steps = False
 
     def record(self, size: int) -> None:
         """Record a credit of the peer, in bytes."""
-        self.granted_per_chunk |= size < _WIDE_CREDIT_BYTES
+        if size < _LARGE_CREDIT_BYTES:
+            self._per_chunk, self.in_large_steps = True, False
+
+    def record_timeout(self) -> None:
+        """Record that the peer granted nothing for the bytes in flight."""
+        self.in_large_steps = not self._per_chunk
 
 
 class SendWindow:
-    """Limit the bytes of a response that are sent before the peer has read them."""
+    """Limit the bytes of one response that are sent before the peer has read them."""
 
-    def __init__(self, peer_credit: PeerCredit) -> None:
+    def __init__(self, limit: InFlightLimit, peer_credit: PeerCredit) -> None:
+        self._limit = limit
+        self._response = limit.add_response()
         self._peer_credit = peer_credit
-        self._available = _WINDOW_BYTES
+        self._loop = asyncio.get_running_loop()
+        #: bytes sent for which no credit has been granted
+        self._unread = 0
+        #: the part of them that counts as in flight
+        self._in_flight = 0
+        self._timer: asyncio.TimerHandle | None = None
         self._changed = asyncio.Event()
-        self._widened = False
-        self._unlimited = False
+        self._closed = False
 
     def grant(self, size: int) -> None:
         """Enlarge the window by the bytes that the peer has read."""
         self._peer_credit.record(size)
-        self._available += size
+        self._unread -= size
+        self._land(size)
         self._changed.set()
 
-    def remove_limit(self) -> None:
-        """Remove the limit, so that no sender keeps waiting after the link has closed."""
-        self._unlimited = True
+    def close(self) -> None:
+        """End all waits, since the link has closed."""
+        self._closed = True
+        self._land(self._in_flight)
         self._changed.set()
 
     async def acquire(self, size: int) -> None:
-        """Wait until the window is open, then subtract the size of a chunk."""
-        while self._available <= 0 and not self._unlimited:
+        """Wait until a chunk may be sent, and count it as in flight."""
+        while self._unread >= self._get_size() and not self._closed:
             self._changed.clear()
-            await self._wait_for_change()
-        self._available -= size
-
-    async def _wait_for_change(self) -> None:
-        may_widen = not (self._widened or self._peer_credit.granted_per_chunk)
+            await self._changed.wait()
+        self._unread += size
+        if self._closed or self._peer_credit.in_large_steps:
+            return
+        await self._limit.acquire(self._response, size)
+        self._in_flight += size
+        self._restart_timer()
+
+    async def finish(self) -> None:
+        """Wait until the last chunks have arrived, as far as credit shows it."""
         try:
-            async with asyncio.timeout(_CREDIT_TIMEOUT_S if may_widen else None):
+            # no credit is granted for a last part that is smaller than a chunk
+            while self._in_flight >= CHUNK_BYTES and not self._closed:
+                self._changed.clear()
                 await self._changed.wait()
-        except TimeoutError:
-            if not self._peer_credit.granted_per_chunk:
-                self._widened = True
-                self._available += _WIDE_WINDOW_BYTES - _WINDOW_BYTES
+        finally:
+            self._land(self._in_flight)
+
+    def _get_size(self) -> int:
+        return _WIDE_WINDOW_BYTES if self._peer_credit.in_large_steps else _WINDOW_BYTES
+
+    def _land(self, size: int) -> None:
+        landed = min(size, self._in_flight)
+        self._in_flight -= landed
+        self._limit.release(landed)
+        self._restart_timer()
+
+    def _restart_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = (
+            self._loop.call_later(_CREDIT_TIMEOUT_S, self._handle_timeout)
+            if self._in_flight
+            else None
+        )
+
+    def _handle_timeout(self) -> None:
+        # A reader that has stalled must not hold up the other responses of the node.
+        self._peer_credit.record_timeout()
+        self._land(self._in_flight)
+        self._changed.set()
 
 
 def grant_on_read(pipe: BodyPipe, send_credit: Callable[[int], None]) -> None:
--- a/balsamhead/mesh/_link.py
+++ b/balsamhead/mesh/_link.py
@@ -19,7 +19,13 @@
     ResponseTruncatedError,
     UpstreamResponse,
 )
-from balsamhead.mesh._flow_control import CHUNK_BYTES, PeerCredit, SendWindow, grant_on_read
+from balsamhead.mesh._flow_control import (
+    CHUNK_BYTES,
+    InFlightLimit,
+    PeerCredit,
+    SendWindow,
+    grant_on_read,
+)
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header, encode_frame, extract_frames
 from balsamhead.mesh.model import Load
 
@@ -114,8 +120,11 @@
 class Link(asyncio.Protocol):
     """Send and receive frames over one connection to a peer."""
 
-    def __init__(self, handler: LinkHandler, *, dialled: bool) -> None:
+    def __init__(
+        self, handler: LinkHandler, *, dialled: bool, in_flight_limit: InFlightLimit
+    ) -> None:
         self._handler = handler
+        self._in_flight_limit = in_flight_limit
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
@@ -154,7 +163,7 @@
         for task in self._running_calls.values():
             task.cancel()
         for window in self._send_windows.values():
-            window.remove_limit()
+            window.close()
         self._handler.link_closed(self, reason)
 
     def data_received(self, data: bytes) -> None:
@@ -357,21 +366,25 @@
             complete,
             self._handler.get_load(),
         )
-        self.send(FrameKind.RESPONSE, stream_id, header, response.body[:CHUNK_BYTES])
+        self.send(FrameKind.RESPONSE, stream_id, header, response.body if complete else b"")
 
     async def _send_rest(self, stream_id: int, response: UpstreamResponse) -> None:
-        window = self._send_windows[stream_id] = SendWindow(self._peer_credit)
+        window = self._send_windows[stream_id] = SendWindow(
+            self._in_flight_limit, self._peer_credit
+        )
         body_stream = response.body_stream
         try:
-            await self._send_body(stream_id, window, response.body[CHUNK_BYTES:])
+            await self._send_body(stream_id, window, response.body)
             while body_stream is not None and (part := await body_stream.read()):
                 await self._send_body(stream_id, window, part)
             self.send(FrameKind.RESPONSE_END, stream_id)
+            await window.finish()
         except ResponseTruncatedError:
             self.send(FrameKind.RESPONSE_TRUNCATED, stream_id)
         finally:
             if body_stream is not None:
                 body_stream.cancel()
+            window.close()
             del self._send_windows[stream_id]
 
     async def _send_body(self, stream_id: int, window: SendWindow, part: bytes) -> None:
--- a/balsamhead/mesh/_link_manager.py
+++ b/balsamhead/mesh/_link_manager.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from balsamhead.errors import BalsamheadError
+from balsamhead.mesh._flow_control import InFlightLimit
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header, encode_frame
 from balsamhead.mesh._link import Link
 from balsamhead.mesh._peers import Heartbeat, Hello, Peer, PeerTable, UpstreamView
@@ -80,6 +81,7 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._links: set[Link] = set()
+        self._in_flight_limit = InFlightLimit()
         self._server: asyncio.Server | None = None
         self._maintenance_timer: asyncio.TimerHandle | None = None
         self._dials: set[asyncio.Task[None]] = set()
@@ -99,7 +101,11 @@
         """
         host, _, port = self._own_record.address.rpartition(":")
         self._server = await self._loop.create_server(
-            lambda: Link(self, dialled=False), host, int(port), backlog=1024, reuse_address=True
+            lambda: self._make_link(dialled=False),
+            host,
+            int(port),
+            backlog=1024,
+            reuse_address=True,
         )
         self._maintain_links()
 
@@ -112,6 +118,9 @@
         for link in list(self._links):
             link.close("node stops")
 
+    def _make_link(self, *, dialled: bool) -> Link:
+        return Link(self, dialled=dialled, in_flight_limit=self._in_flight_limit)
+
     def add_node(self, record: NodeRecord) -> None:
         """Add a node to the table of peers, or update its record."""
         self.table.add(record)
@@ -221,7 +230,7 @@
         try:
             async with asyncio.timeout(_DIAL_TIMEOUT_S):
                 _, link = await self._loop.create_connection(
-                    lambda: Link(self, dialled=True), host, int(port)
+                    lambda: self._make_link(dialled=True), host, int(port)
                 )
         except OSError as exc:
             self._handle_failed_dial(peer, exc)
--- a/tests/test_mesh/test_flow_control.py
+++ b/tests/test_mesh/test_flow_control.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from balsamhead.mesh._flow_control import CHUNK_BYTES, PeerCredit, SendWindow
+from balsamhead.mesh._flow_control import CHUNK_BYTES, InFlightLimit, PeerCredit, SendWindow
 from tests.test_mesh.builders import run_virtual
 
 
@@ -21,32 +21,105 @@
 
 def test_only_a_window_is_in_flight_until_the_peer_grants_credit() -> None:
     async def main() -> None:
-        window = SendWindow(PeerCredit())
-        assert await send_chunks(window, 10, within_s=0.05) == 2
+        credit = PeerCredit()
+        credit.record(CHUNK_BYTES)
+        window = SendWindow(InFlightLimit(), credit)
+        assert await send_chunks(window, 10, within_s=5.0) == 2
         window.grant(CHUNK_BYTES)
         assert await send_chunks(window, 10, within_s=5.0) == 1
 
     run_virtual(main)
 
 
+def test_responses_of_a_node_share_what_may_be_in_flight() -> None:
+    async def main() -> None:
+        limit, credit = InFlightLimit(), PeerCredit()
+        first, second = SendWindow(limit, credit), SendWindow(limit, credit)
+        assert await send_chunks(first, 10, within_s=0.01) == 2
+        assert await send_chunks(second, 10, within_s=0.01) == 0
+        first.grant(CHUNK_BYTES)
+        assert await send_chunks(second, 10, within_s=0.01) == 1
+
+    run_virtual(main)
+
+
+def test_oldest_response_is_sent_first() -> None:
+    async def main() -> None:
+        limit, credit = InFlightLimit(), PeerCredit()
+        older, newer, last = (SendWindow(limit, credit) for _ in range(3))
+        assert await send_chunks(last, 2, within_s=0.01) == 2
+        tasks = [asyncio.create_task(send_chunks(row, 1, within_s=1.0)) for row in (newer, older)]
+        await asyncio.sleep(0.01)
+        last.grant(CHUNK_BYTES)
+        await asyncio.sleep(0.01)
+        assert [task.done() for task in tasks] == [False, True]
+
+    run_virtual(main)
+
+
+# Guards against one caller that stops reading holding up all other responses of the node.
+def test_stalled_reader_does_not_hold_up_other_responses() -> None:
+    async def main() -> None:
+        limit, credit = InFlightLimit(), PeerCredit()
+        credit.record(CHUNK_BYTES)
+        stalled, other = SendWindow(limit, credit), SendWindow(limit, credit)
+        assert await send_chunks(stalled, 10, within_s=0.01) == 2
+        assert await send_chunks(other, 10, within_s=0.2) == 2
+
+    run_virtual(main)
+
+
 # Guards against a response that never ends since the peer, of an earlier release, grants credit
 # for 64 KiB at once and so never for a window of 16 KiB.
 def test_peer_that_grants_credit_in_large_steps_gets_the_whole_response() -> None:
     async def main() -> None:
         credit = PeerCredit()
-        window = SendWindow(credit)
+        window = SendWindow(InFlightLimit(), credit)
         assert await send_chunks(window, 64, within_s=1.0) == 32
         window.grant(64 << 10)
         assert await send_chunks(window, 64, within_s=1.0) == 8
-        assert not credit.granted_per_chunk
+        assert credit.in_large_steps
+
+    run_virtual(main)
+
+
+def test_turn_of_a_sender_cancelled_after_it_was_woken_goes_to_the_next() -> None:
+    async def main() -> None:
+        limit, credit = InFlightLimit(), PeerCredit()
+        first, second, third = (SendWindow(limit, credit) for _ in range(3))
+        assert await send_chunks(first, 2, within_s=0.01) == 2
+        task = asyncio.create_task(send_chunks(second, 1, within_s=1.0))
+        waiting = asyncio.create_task(send_chunks(third, 1, within_s=1.0))
+        await asyncio.sleep(0.01)
+        first.grant(CHUNK_BYTES)
+        task.cancel()
+        await asyncio.sleep(0.01)
+        assert waiting.done()
 
     run_virtual(main)
 
 
 def test_sender_ends_when_its_link_closes() -> None:
     async def main() -> None:
-        window = SendWindow(PeerCredit())
-        window.remove_limit()
+        window = SendWindow(InFlightLimit(), PeerCredit())
+        window.close()
         assert await send_chunks(window, 10, within_s=0.05) == 10
 
     run_virtual(main)
+
+
+def test_cancelled_sender_leaves_its_turn_to_the_next() -> None:
+    async def main() -> None:
+        limit, credit = InFlightLimit(), PeerCredit()
+        first, second, third = (SendWindow(limit, credit) for _ in range(3))
+        assert await send_chunks(first, 2, within_s=0.01) == 2
+        task = asyncio.create_task(send_chunks(second, 1, within_s=1.0))
+        waiting = asyncio.create_task(send_chunks(third, 1, within_s=1.0))
+        await asyncio.sleep(0.01)
+        task.cancel()
+        first.grant(CHUNK_BYTES)
+        assert not waiting.done()
+        await asyncio.sleep(0.01)
+        assert waiting.done()
+
+    run_virtual(main)
