End exchanges whose response never ends

On the mesh path, by tests that failed before:

- interim responses without end were parsed by recursion, as many as came;
- a body that can't be delivered (unsigned, with a content coding, or of a response that says that it didn't run) was buffered until it ended, so that memory grew until the process would be killed, and its slot was held until the deadline;
- a body of a proper head that never ends was streamed for as long as its caller stayed, and held its slot as long.

Change: interim responses count into the bound of the head; beyond 512 KiB a body that can't be delivered ends the exchange with the outcome that its head decides; a streamed response is cut 0.5 s after the deadline of its call. Head, chunk and trailer lines without end were bounded already; the tests hold that.

--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -49,6 +49,8 @@
 #: time without a free slot after which the upstream is saturated and the latency objective bounds
 #: the wait of requests, in s
 _SATURATION_S: Final = 0.5
+#: time after the deadline of a call at which its streamed response is cut, in s
+_STREAM_GRACE_S: Final = 0.5
 #: upper bound of a refusal's Retry-After, in s
 _MAX_RETRY_AFTER_S: Final = 0.3
 #: lower bound of a refusal's Retry-After, in s
@@ -375,7 +377,10 @@
             self._return_connection(conn)
             return self._refuse("deadline-passed")
 
+        timer = self._loop.call_at(deadline, conn.cancel, "deadline-passed")
+
         def finish() -> None:
+            timer.cancel()
             self._active_connections.discard(conn)
             self._return_connection(conn)
             slot_hold.release()
@@ -388,16 +393,15 @@
             remaining_ms=max(1, int(remaining_s * 1000)),
             on_complete=finish,
         )
-        timer = self._loop.call_at(deadline, conn.cancel, "deadline-passed")
         try:
             outcome = await future
         except asyncio.CancelledError:
             conn.cancel("caller-left")
             raise
-        finally:
-            timer.cancel()
         if isinstance(outcome, UpstreamResponse) and outcome.body_stream is not None:
             outcome.body_stream.on_cancel = lambda: conn.cancel("caller-left")
+            timer.cancel()
+            timer = self._loop.call_at(deadline + _STREAM_GRACE_S, conn.cancel, "stream-late")
         took_s = self._loop.time() - started_at
         self._metrics.observe("exchange_seconds", took_s, call.route_kind.value)
         self._record_outcome(call, record, outcome, took_s * 1000)
--- a/balsamhead/mesh/_upstream_connection.py
+++ b/balsamhead/mesh/_upstream_connection.py
@@ -42,7 +42,7 @@
 _MAX_BUFFERED_BYTES: Final = 512 << 10
 #: unread bytes of a streamed response above which reading from the upstream is paused
 _MAX_PIPE_BYTES: Final = 256 << 10
-#: largest status line and header section of a response, in bytes
+#: largest head of a response, together with the interim responses before it, in bytes
 _MAX_HEAD_BYTES: Final = 64 << 10
 #: safety margin before the idle timeout that the upstream announces, in s
 _IDLE_MARGIN_S: Final = 1.0
@@ -62,6 +62,7 @@
         self._response_start: ResponseHead | None = None
         self._fields: UpstreamHeaders | None = None
         self._decoder: BodyDecoder | None = None
+        self._head_bytes = 0
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._pipe: BodyPipe | None = None
@@ -147,6 +148,7 @@
         self._future = self._loop.create_future()
         self._response_start, self._fields, self._decoder, self._pipe = None, None, None, None
         self._buffered, self._buffered_bytes, self.response_started = [], 0, False
+        self._head_bytes = 0
         fields = encode_upstream_headers(
             remaining_ms=remaining_ms, caller_service=call.caller_service, upstream_id=upstream_id
         )
@@ -172,7 +174,7 @@
             chunk = self._decoder.decode(self._buffer)
             if not self._discarding:
                 self._handle_chunk(chunk)
-            if not self._decoder.done:
+            if self._call is None or not self._decoder.done:
                 return
             if self._discarding:
                 self._discarding = False
@@ -182,18 +184,9 @@
 
     def _parse_head(self) -> bool:
         assert self._call is not None
-        end = self._buffer.find(b"\r\n\r\n")
-        if end < 0:
-            if len(self._buffer) > _MAX_HEAD_BYTES:
-                raise FramingError("headers-too-large")
+        start = self._parse_final_head(self._call.method)
+        if start is None:
             return False
-        block = bytes(self._buffer[: end + 4])
-        del self._buffer[: end + 4]
-        start = parse_response_head(
-            block, method=self._call.method, excluded_headers=DROPPED_RESPONSE_HEADERS
-        )
-        if start.status < 200:
-            return self._parse_head()
         fields = parse_upstream_headers(start.status, start.headers)
         if fields.request_id and fields.request_id != self._call.request_id:
             # a late response to an earlier request precedes the expected one
@@ -207,6 +200,26 @@
         self._decoder = BodyDecoder(start.length)
         return True
 
+    def _parse_final_head(self, method: str) -> ResponseHead | None:
+        """Return the head of the next response that is not an interim one, if it is complete."""
+        while (end := self._buffer.find(b"\r\n\r\n")) >= 0:
+            block = bytes(self._buffer[: end + 4])
+            del self._buffer[: end + 4]
+            self._check_head_size(len(block))
+            start = parse_response_head(
+                block, method=method, excluded_headers=DROPPED_RESPONSE_HEADERS
+            )
+            if start.status >= 200:
+                self._head_bytes = 0
+                return start
+            self._head_bytes += len(block)
+        self._check_head_size(len(self._buffer))
+        return None
+
+    def _check_head_size(self, size: int) -> None:
+        if self._head_bytes + size > _MAX_HEAD_BYTES:
+            raise FramingError("headers-too-large")
+
     def _handle_chunk(self, chunk: bytes) -> None:
         if not chunk:
             return
@@ -216,8 +229,14 @@
             return
         self._buffered.append(chunk)
         self._buffered_bytes += len(chunk)
-        if self._buffered_bytes > _MAX_BUFFERED_BYTES and self._is_valid_response():
+        if self._buffered_bytes <= _MAX_BUFFERED_BYTES:
+            return
+        if self._is_valid_response():
             self._start_streaming()
+        else:
+            # the outcome doesn't depend on the rest of the body, which may never end
+            self.close()
+            self._complete(self._make_invalid_outcome())
 
     def _start_streaming(self) -> None:
         assert self._response_start is not None
@@ -248,6 +267,14 @@
             and (self._fields.signed or self._response_start.status >= 300)
         )
 
+    def _make_invalid_outcome(self) -> NotExecuted | OutcomeUnknown:
+        assert self._response_start is not None
+        assert self._fields is not None
+        if not self._fields.not_executed:
+            return OutcomeUnknown("answer-unsigned")
+        replaced = self._response_start.status == 421
+        return NotExecuted("upstream-replaced" if replaced else "upstream-shed")
+
     def _make_response(self, length: int, rest: BodyPipe | None) -> UpstreamResponse:
         assert self._response_start is not None
         start = self._response_start
@@ -259,11 +286,8 @@
         assert self._response_start is not None
         assert self._fields is not None
         outcome: Outcome
-        if self._fields.not_executed:
-            stale = self._response_start.status == 421
-            outcome = NotExecuted("upstream-replaced" if stale else "upstream-shed")
-        elif not self._is_valid_response():
-            outcome = OutcomeUnknown("answer-unsigned")
+        if not self._is_valid_response():
+            outcome = self._make_invalid_outcome()
         else:
             outcome = self._make_response(sum(map(len, self._buffered)), None)
         self._update_reuse()
