Check a call's deadline also while its upstream keeps sending

On the first path a read looked at its deadline only when there was nothing to read. Interim responses or a body without end kept a thread, a connection and the caller for as long as the bytes came; the tests read on for 10,000 receive calls.

Change: bytes that arrive after the deadline end the read, as silence does.

--- a/balsamhead/proxy/_stream.py
+++ b/balsamhead/proxy/_stream.py
@@ -107,9 +107,14 @@
             return None
         while True:
             try:
-                return self.sock.recv_into(buffer)
+                size = self.sock.recv_into(buffer)
             except BlockingIOError:
                 _wait_for_events(self.sock, _POLL_IN, self.deadline_at)
+                continue
+            if size and time.monotonic() >= self.deadline_at:
+                # a peer that sends without end never makes a read wait
+                raise TimeoutError("data still arrived after the deadline")
+            return size
 
 
 class DeadlineReader(io.BufferedReader):
