Size the window of bulk responses by the time until credit comes back

A fixed window of 16 KiB a node would bound a fast link to one window a round trip: some 4 to 8 MB/s on 1 Gbit/s. The window now grows by a chunk while credit is back within 10 ms and halves when it takes over 25 ms, between 16 and 256 KiB, so that what is sent after it waits for about as long on any link.

--- a/balsamhead/mesh/_flow_control.py
+++ b/balsamhead/mesh/_flow_control.py
@@ -1,12 +1,14 @@
 """Limit the bytes of streamed responses that are in flight from a node.
 
 The link of a VM is shared by all calls of its node, and what is in flight delays whatever is sent
-after it.
+after it. So all responses of a node share one window, which grows while credit comes back soon
+and shrinks while it comes back late.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -18,12 +20,14 @@
 
 #: largest part of a response's body in one frame, in bytes
 CHUNK_BYTES: Final = 8 << 10
-#: bytes of one response that may be in flight
-_WINDOW_BYTES: Final = 2 * CHUNK_BYTES
-#: bytes of all responses of a node that may be in flight: one chunk on the way, one behind it
-_NODE_WINDOW_BYTES: Final = 2 * CHUNK_BYTES
-#: the window for a peer of an earlier release, which grants credit in larger steps
-_WIDE_WINDOW_BYTES: Final = 256 << 10
+#: smallest window in bytes: one chunk on the way, one behind it
+_MIN_WINDOW_BYTES: Final = 2 * CHUNK_BYTES
+#: largest window in bytes, and the one for a peer of an earlier release, which grants credit in
+#: larger steps
+_MAX_WINDOW_BYTES: Final = 256 << 10
+#: time from a chunk to its credit below which the window grows, and above which it shrinks, in s
+_SHORT_DELAY_S: Final = 0.01
+_LONG_DELAY_S: Final = 0.025
 #: smallest credit of such a peer, in bytes
 _LARGE_CREDIT_BYTES: Final = 64 << 10
 #: time without credit after which the bytes in flight are assumed to have arrived, in s
@@ -35,6 +39,8 @@
 
     def __init__(self) -> None:
         self._in_flight = 0
+        #: bytes that may be in flight
+        self.window_bytes = _MIN_WINDOW_BYTES
         self._response_count = 0
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []
 
@@ -48,7 +54,7 @@
 
         :param response: number of the response.
         """
-        if self._in_flight >= _NODE_WINDOW_BYTES or self._waiters:
+        if self._in_flight >= self.window_bytes or self._waiters:
             waiter = (response, asyncio.get_running_loop().create_future())
             self._waiters.append(waiter)
             try:
@@ -66,8 +72,15 @@
         self._in_flight -= size
         self._wake_next()
 
+    def record_delay(self, delay_s: float) -> None:
+        """Adapt the window to the time from a chunk to its credit, in s."""
+        if delay_s < _SHORT_DELAY_S:
+            self.window_bytes = min(_MAX_WINDOW_BYTES, self.window_bytes + CHUNK_BYTES)
+        elif delay_s > _LONG_DELAY_S:
+            self.window_bytes = max(_MIN_WINDOW_BYTES, self.window_bytes // 2)
+
     def _wake_next(self) -> None:
-        if self._in_flight >= _NODE_WINDOW_BYTES:
+        if self._in_flight >= self.window_bytes:
             return
         pending = [waiter for waiter in self._waiters if not waiter[1].done()]
         if pending:
@@ -102,8 +115,9 @@
         self._loop = asyncio.get_running_loop()
         #: bytes sent for which no credit has been granted
         self._unread = 0
-        #: the part of them that counts as in flight
+        #: the part of them that counts as in flight, and when its chunks were sent
         self._in_flight = 0
+        self._sent_at: deque[float] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._changed = asyncio.Event()
         self._closed = False
@@ -112,6 +126,8 @@
         """Enlarge the window by the bytes that the peer has read."""
         self._peer_credit.record(size)
         self._unread -= size
+        if self._sent_at:
+            self._limit.record_delay(self._loop.time() - self._sent_at.popleft())
         self._land(size)
         self._changed.set()
 
@@ -131,6 +147,7 @@
             return
         await self._limit.acquire(self._response, size)
         self._in_flight += size
+        self._sent_at.append(self._loop.time())
         self._restart_timer()
 
     async def finish(self) -> None:
@@ -144,7 +161,8 @@
             self._land(self._in_flight)
 
     def _get_size(self) -> int:
-        return _WIDE_WINDOW_BYTES if self._peer_credit.in_large_steps else _WINDOW_BYTES
+        in_large_steps = self._peer_credit.in_large_steps
+        return _MAX_WINDOW_BYTES if in_large_steps else self._limit.window_bytes
 
     def _land(self, size: int) -> None:
         landed = min(size, self._in_flight)
@@ -164,6 +182,7 @@
     def _handle_timeout(self) -> None:
         # A reader that has stalled must not hold up the other responses of the node.
         self._peer_credit.record_timeout()
+        self._sent_at.clear()
         self._land(self._in_flight)
         self._changed.set()
 
--- a/tests/test_mesh/test_flow_control.py
+++ b/tests/test_mesh/test_flow_control.py
@@ -43,6 +43,34 @@
     run_virtual(main)
 
 
+# Guards against fast links being used for a window of 16 KiB a round trip only.
+def test_window_grows_while_credit_comes_back_soon() -> None:
+    async def main() -> None:
+        limit = InFlightLimit()
+        window = SendWindow(limit, PeerCredit())
+        for _ in range(100):
+            await window.acquire(CHUNK_BYTES)
+            await asyncio.sleep(0.002)
+            window.grant(CHUNK_BYTES)
+        assert limit.window_bytes == 256 << 10
+
+    run_virtual(main)
+
+
+def test_window_shrinks_while_credit_comes_back_late() -> None:
+    async def main() -> None:
+        limit = InFlightLimit()
+        limit.window_bytes = 256 << 10
+        window = SendWindow(limit, PeerCredit())
+        for _ in range(4):
+            await window.acquire(CHUNK_BYTES)
+            await asyncio.sleep(0.05)
+            window.grant(CHUNK_BYTES)
+        assert limit.window_bytes == 2 * CHUNK_BYTES
+
+    run_virtual(main)
+
+
 def test_oldest_response_is_sent_first() -> None:
     async def main() -> None:
         limit, credit = InFlightLimit(), PeerCredit()
