--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -21,7 +21,7 @@
 
 STORE = "10.9.0.1:8000"
 LIMITS = Limits(16_384, 8 << 20, 10.0, 60.0)
-PLACES = {"east-a": "east", "east-b": "east", "west-a": "west"}
+PLACES = {"east-a": "east", "east-b": "east", "west-a": "west", "west-b": "west"}
 NO_HEADERS: frozenset[bytes] = frozenset()
 
 
