--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -63,6 +63,10 @@
     )
 
 
+#: nodes in one data centre: two beside upstreams of the service "desk", one beside "registry"
+NODE_1, NODE_2, NODE_3 = make_settings(1), make_settings(2), make_settings(3, service="registry")
+
+
 def make_route(**changes: Any) -> dict[str, Any]:
     row = {
         "host": "plots.example",
--- /dev/null
+++ b/tests/test_mesh/test_announcements.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+import asyncio
+
+from tests.test_mesh.builders import (
+    NODE_1,
+    NODE_2,
+    NODE_3,
+    InMemoryCluster,
+    RequestSender,
+    run_virtual,
+    send,
+)
+
+
+def test_draining_upstream_gets_no_new_requests() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        upstream.state = "draining"
+        assert (await upstream.announce()).status == 200
+        before = len(upstream.requests)
+        responses = await asyncio.gather(
+            *(send_request(cfg) for cfg in (NODE_1, NODE_2, NODE_3) for _ in range(4))
+        )
+        assert [response.status for response in responses] == [200] * 12
+        assert len(upstream.requests) == before
+
+    run_virtual(main)
+
+
+def test_upstream_that_left_without_draining_gets_no_new_requests() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(NODE_1, NODE_2)
+        upstream = cluster.members[1].upstream
+        assert (await upstream.leave()).status == 200
+        before = len(upstream.requests)
+        # a heartbeat that was sent before the departure may arrive after it
+        upstream.sequence -= 1
+        await upstream.announce()
+        responses = await asyncio.gather(
+            *(send_request(cfg) for cfg in (NODE_1, NODE_2) for _ in range(2))
+        )
+        assert [response.status for response in responses] == [200] * 4
+        assert len(upstream.requests) == before
+
+    run_virtual(main)
+
+
+def test_late_heartbeat_of_a_replaced_upstream_is_ignored() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(NODE_1)
+        upstream = cluster.members[1].upstream
+        upstream.id, upstream.born, upstream.sequence = "i-new", 2000, 0
+        await upstream.announce()
+        upstream.id, upstream.born, upstream.sequence = "i-node-1", 1000, 90
+        await upstream.announce()
+        upstream.id = "i-new"
+        assert (await send_request(NODE_1)).status == 200
+
+    run_virtual(main)
+
+
+def test_malformed_heartbeat_is_rejected_and_has_no_effect() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(NODE_1)
+        for body in (b"\xff", b"{}", b'{"service": 3}', b"[]"):
+            address = NODE_1.announce_address
+            assert (await send(address, "PUT", "/instances/i-foreign", body)).status == 400
+        assert (await send_request(NODE_1)).status == 200
+
+    run_virtual(main)
--- /dev/null
+++ b/tests/test_mesh/test_configuration.py
@@ -0,0 +1,119 @@
+from __future__ import annotations
+
+import asyncio
+
+from tests.test_mesh.builders import (
+    NODE_1,
+    NODE_2,
+    NODE_3,
+    InMemoryCluster,
+    RequestSender,
+    make_config,
+    make_route,
+    make_settings,
+    run_virtual,
+)
+
+
+def test_configuration_change_reaches_all_nodes_with_few_store_reads() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        settings = [make_settings(number) for number in range(1, 8)]
+        await cluster.start(*settings)
+        before = len(cluster.store.calls)
+        cluster.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(0.1)
+        for cfg in settings:
+            assert (await send_request(cfg, "/new/1")).status == 200
+        assert len(cluster.store.calls) - before <= 4
+
+    run_virtual(main)
+
+
+def test_configuration_change_arrives_after_the_readers_are_killed() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(*(make_settings(number) for number in range(1, 6)))
+        readers = [
+            number for number, member in cluster.members.items() if member.node._sync.is_reader()
+        ]
+        for number in readers:
+            cluster.kill(number)
+        cluster.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(1.8)
+        for member in cluster.members.values():
+            assert (await send_request(member.cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
+def test_configuration_change_arrives_while_all_readers_stop() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(*(make_settings(number) for number in range(1, 6)))
+        for member in list(cluster.members.values()):
+            if member.node._sync.is_reader():
+                member.node.stop()
+        await asyncio.sleep(0.5)
+        cluster.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(1.5)
+        for member in cluster.members.values():
+            assert (await send_request(member.cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
+def test_node_refused_by_the_store_gets_changes_from_peers() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(NODE_1, NODE_2, make_settings(4), make_settings(5))
+        readers = [m for m in cluster.members.values() if m.node._sync.is_reader()]
+        cluster.store.faults.refused_hosts = {m.cfg.peer_address.split(":")[0] for m in readers}
+        await asyncio.sleep(4.0)
+        cluster.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(2.0)
+        for member in readers:
+            assert (await send_request(member.cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
+def test_stale_store_responses_do_not_revert_the_configuration() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(NODE_1, NODE_2)
+        cluster.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(0.5)
+        cluster.store.faults.hidden_records = 1
+        cluster.store.compact("keyed.op")
+        await asyncio.sleep(5.0)
+        for cfg in (NODE_1, NODE_2):
+            assert (await send_request(cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
+def test_node_started_during_a_store_outage_joins_the_mesh() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(NODE_1, NODE_2, NODE_3)
+        member = cluster.kill(3)
+        cluster.store.faults.silent = True
+        await asyncio.sleep(0.5)
+        await cluster.add(member.cfg, upstream=member.upstream)
+        await asyncio.sleep(2.0)
+        assert (await send_request(NODE_3)).status == 200
+
+    run_virtual(main)
+
+
+def test_reload_applies_only_the_reloadable_settings() -> None:
+    async def main() -> None:
+        cluster = InMemoryCluster()
+        await cluster.start(NODE_1)
+        node = cluster.members[1].node
+        node.reload(NODE_1._replace(retry_ratio=0.0, retry_slack=0.0, caller_address="10.0.0.1:9"))
+        assert not node._budget.try_acquire("desk", asyncio.get_running_loop().time())
+        assert node._cfg.caller_address == NODE_1.caller_address
+
+    run_virtual(main)
