--- a/bench/_link_load.py
+++ b/bench/_link_load.py
@@ -52,6 +52,8 @@
     """Kind of request."""
 
     method: str
+    #: kind of its route, in the platform's words
+    route_kind: str
     service: str
     #: share of the callers' requests, relative to that of the others; 0 for calls of upstreams
     weight: float
@@ -65,11 +67,11 @@
 
 
 KINDS: Final = {
-    "check": Kind("GET", "desk", 4.6, 77.0, 0.8, 0.478, 0.8, 1.79),
-    "accept": Kind("POST", "desk", 1.9, 100.0, 0.3, 0.485, 0.8, 1.82),
-    "export": Kind("GET", "registry", 0.74, 62.0, 0.5, 0.731, 2.0, 2.9, 90_000),
-    "withdraw": Kind("POST", "registry", 0.57, 62.0, 0.5, 0.38, 1.2, 1.52, 1_500),
-    "lookup": Kind("GET", "registry", 0.0, 19.0, 0.5, 0.158, 0.494, 0.494),
+    "check": Kind("GET", "safe", "desk", 4.6, 77.0, 0.8, 0.478, 0.8, 1.79),
+    "accept": Kind("POST", "unsafe", "desk", 1.9, 100.0, 0.3, 0.485, 0.8, 1.82),
+    "export": Kind("GET", "download", "registry", 0.74, 62.0, 0.5, 0.731, 2.0, 2.9, 90_000),
+    "withdraw": Kind("POST", "unsafe", "registry", 0.57, 62.0, 0.5, 0.38, 1.2, 1.52, 1_500),
+    "lookup": Kind("GET", "safe", "registry", 0.0, 19.0, 0.5, 0.158, 0.494, 0.494),
 }
 
 
@@ -115,7 +117,7 @@
             if left_s < _MIN_TIME_LEFT_S:
                 break
             status, retry_delay_s = await self._attempt(kind_name, kind, left_s)
-            if status == 200 or (kind.method == "POST" and status != 503):
+            if status == 200 or (kind.route_kind == "unsafe" and status != 503):
                 break
             await asyncio.sleep(retry_delay_s)
         self.samples.append(_Sample(kind_name, status, self.loop.time() - started_at))
@@ -176,7 +178,7 @@
     return {
         name: make_route(
             path_prefix=f"/{name}/",
-            kind={"POST": "unsafe", "GET": "safe"}[kind.method] if name != "export" else "download",
+            kind=kind.route_kind,
             service=kind.service,
             priority=1 if name == "accept" else 2,
             timeout=f"{kind.timeout_s * 1000:.0f}ms",
