--- a/tests/test_mesh/test_endless_responses.py
+++ b/tests/test_mesh/test_endless_responses.py
@@ -43,8 +43,7 @@
     return (future.result() if future.done() else None), held
 
 
-# Guards against a node that is killed for its memory, or a slot that is held until the deadline,
-# because of bytes that are no response and don't end.
+# Guards against memory that grows, and a slot that is held, while bytes come that don't end.
 @pytest.mark.parametrize(
     ("start", "piece"),
     [
@@ -89,8 +88,7 @@
     run_virtual(main)
 
 
-# Guards against a slot that is held for good by a response with a proper head whose body never
-# ends, when its caller never leaves.
+# Guards against a slot held for good by a body without end whose caller never leaves.
 def test_endless_stream_ends_after_the_deadline_of_its_call() -> None:
     async def main() -> None:
         cluster, ask = InMemoryCluster(), RequestSender()
--- a/tests/test_mesh/test_flow_control.py
+++ b/tests/test_mesh/test_flow_control.py
@@ -97,8 +97,7 @@
     run_virtual(main)
 
 
-# Guards against a response that never ends since the peer, of an earlier release, grants credit
-# for 64 KiB at once and so never for a window of 16 KiB.
+# Guards against waiting for ever for a peer that grants credit only for more than a window.
 def test_peer_that_grants_credit_in_large_steps_gets_the_whole_response() -> None:
     async def main() -> None:
         credit = PeerCredit()
--- a/tests/test_mesh/test_thin_links.py
+++ b/tests/test_mesh/test_thin_links.py
@@ -46,8 +46,7 @@
     return cluster
 
 
-# Guards against callers' short requests, and the slots that wait for them, queueing for hundreds
-# of ms behind bulk responses on a thin link.
+# Guards against short requests that wait for hundreds of ms behind bulk responses on a thin link.
 def test_short_responses_meet_their_objective_beside_bulk_on_a_thin_link() -> None:
     async def main() -> None:
         await start_cluster()
--- a/tests/test_proxy/test_stream.py
+++ b/tests/test_proxy/test_stream.py
@@ -42,8 +42,7 @@
         pass
 
 
-# Guards against a call that never ends, and a thread that is lost to it, since a deadline was
-# checked only while there was nothing to read.
+# Guards against a thread lost to a peer that keeps sending: only waits looked at the deadline.
 def test_endless_interim_responses_end_at_the_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
     reader = make_reader(b"HTTP/1.1 100 Continue\r\n\r\n", monkeypatch)
     with pytest.raises(TimeoutError):
