Bind the cancellation of an exchange to its call

A request was cut 16 ms after its upstream had begun to run it, and its caller got a 502.

The time limit of a streamed response was set after its head had been passed on; when the rest of the body had come by then, the exchange had ended and nothing took the limit back. It then cut whatever request was on that connection, 0.5 s after the deadline of the first.

Change: a cancellation names its call and has no effect on another one. The test fails without it: 502 for a later request on the same connection.

--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -377,7 +377,7 @@
             self._return_connection(conn)
             return self._refuse("deadline-passed")
 
-        timer = self._loop.call_at(deadline, conn.cancel, "deadline-passed")
+        timer = self._loop.call_at(deadline, conn.cancel, call, "deadline-passed")
 
         def finish() -> None:
             timer.cancel()
@@ -396,12 +396,12 @@
         try:
             outcome = await future
         except asyncio.CancelledError:
-            conn.cancel("caller-left")
+            conn.cancel(call, "caller-left")
             raise
         if isinstance(outcome, UpstreamResponse) and outcome.body_stream is not None:
-            outcome.body_stream.on_cancel = lambda: conn.cancel("caller-left")
+            outcome.body_stream.on_cancel = lambda: conn.cancel(call, "caller-left")
             timer.cancel()
-            timer = self._loop.call_at(deadline + _STREAM_GRACE_S, conn.cancel, "stream-late")
+            timer = self._loop.call_at(deadline + _STREAM_GRACE_S, conn.cancel, call, "stream-late")
         took_s = self._loop.time() - started_at
         self._metrics.observe("exchange_seconds", took_s, call.route_kind.value)
         self._record_outcome(call, record, outcome, took_s * 1000)
--- a/balsamhead/mesh/_upstream_connection.py
+++ b/balsamhead/mesh/_upstream_connection.py
@@ -163,9 +163,12 @@
         self._transport.write(head + b"\r\n" + body)
         return self._future
 
-    def cancel(self, code: str) -> None:
-        """Abort the exchange in progress; its outcome is :class:`OutcomeUnknown` with this code."""
-        if self._call is not None:
+    def cancel(self, call: Call, code: str) -> None:
+        """Abort the exchange of a call; its outcome is :class:`OutcomeUnknown` with this code.
+
+        No effect if that exchange has ended, also when another one is in progress.
+        """
+        if self._call is call:
             self._fail(code)
 
     def _process_buffer(self) -> None:
--- a/tests/test_mesh/test_endless_responses.py
+++ b/tests/test_mesh/test_endless_responses.py
@@ -111,3 +111,27 @@
             await task
 
     run_virtual(main)
+
+
+# Guards against a late limit on one response that cuts a later request on the same connection.
+def test_limit_of_an_ended_stream_does_not_cut_a_later_request() -> None:
+    async def main() -> None:
+        cluster, ask = InMemoryCluster(), RequestSender()
+        node = make_settings(1)
+        await cluster.start(node)
+        upstream = cluster.members[1].upstream
+
+        def answer(request: Request) -> Reply:
+            request_id = request.head.headers[b"request-id"][0]
+            headers = b"Request-Id: %b\r\nServer-Stamp: s\r\n" % request_id
+            return Reply(200, b"x" * (600 << 10), headers)
+
+        upstream.make_custom_reply = answer
+        assert (await ask(node, "/check/1", deadline_ms=1000)).status == 200
+        upstream.make_custom_reply = lambda request: None
+        # requests follow each other beyond the first one's deadline and the time after it
+        upstream.service_time_s = 0.2
+        for _ in range(12):
+            assert (await ask(node, "/check/1", deadline_ms=1000)).status == 200
+
+    run_virtual(main)
--- a/tests/test_mesh/test_upstream_connection.py
+++ b/tests/test_mesh/test_upstream_connection.py
@@ -67,7 +67,7 @@
     if close:
         upstream.transport.close()
     await asyncio.sleep(0.01)
-    conn.cancel("deadline-passed")
+    conn.cancel(CALL, "deadline-passed")
     return await future
 
 
