Split the queue for slots from the upstream

The slots in use, the queue and its summary move to SlotQueue without a change of behaviour; the mesh tests pass.

--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 import logging
-from collections import Counter
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.mesh._calls import (
@@ -17,7 +15,7 @@
     UpstreamResponse,
 )
 from balsamhead.mesh._queue_timeout import compute_max_wait
-from balsamhead.mesh._slot_usage import SlotUsage
+from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
 from balsamhead.mesh._upstream_connection import UpstreamConnection
 from balsamhead.mesh.model import Load, RouteKind, UpstreamRecord, UpstreamState
 
@@ -46,9 +44,6 @@
 #: idle time from which a connection isn't reused for a request that must run at most once, in s;
 #: the upstream may have closed it meanwhile
 _MAX_ONCE_IDLE_S: Final = 0.2
-#: time without a free slot after which the upstream is saturated and the latency objective bounds
-#: the wait of requests, in s
-_SATURATION_S: Final = 0.5
 #: time after the deadline of a call at which its streamed response is cut, in s
 _STREAM_GRACE_S: Final = 0.5
 #: upper bound of a refusal's Retry-After, in s
@@ -71,26 +66,6 @@
     in_slow_start: bool
 
 
-class _Waiter(NamedTuple):
-    priority: int
-    #: order of arrival, which breaks ties between equal priorities
-    arrival_number: int
-    future: asyncio.Future[bool]
-
-
-class _SlotHold:
-    """A slot of the upstream in use, which is released at most once."""
-
-    def __init__(self, release: Callable[[], None]) -> None:
-        self._release_slot: Callable[[], None] | None = release
-
-    def release(self) -> None:
-        """Release the slot; later calls have no effect."""
-        release, self._release_slot = self._release_slot, None
-        if release is not None:
-            release()
-
-
 class LocalUpstream:
     """Run requests on the upstream of this VM, never more at once than it has slots."""
 
@@ -114,21 +89,16 @@
         self._loop = asyncio.get_running_loop()
         self._idle_connections: list[UpstreamConnection] = []
         self._active_connections: set[UpstreamConnection] = set()
-        self._queue: list[_Waiter] = []
-        self._last_arrival_number = 0
+        self._slots = SlotQueue(count_slots=self._count_slots, metrics=metrics)
         self._announced_at = 0.0
         self._slow_start_ends_at = 0.0
         self._unavailable_until = 0.0
         self._deregistered: dict[tuple[str, int], int] = {}
         self._tasks: set[asyncio.Task[Outcome]] = set()
         self.record: UpstreamRecord | None = None
-        self.running = 0
         self.service_ms = _DEFAULT_SERVICE_MS
         self._sample_count = 0
         self._failure_rate = 0.0
-        #: when a slot was last known to be free, in s of the loop's clock
-        self._last_free_at = self._loop.time()
-        self._slot_usage = SlotUsage(self._loop.time())
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
 
@@ -171,8 +141,8 @@
             )
             self._on_change()
         if record.state is UpstreamState.DRAINING:
-            self._refuse_queued("upstream-draining")
-        self._start_queued()
+            self._slots.deny_all("upstream-draining")
+        self._slots.start_queued()
         return True
 
     def deregister(self, upstream_id: str) -> bool:
@@ -188,7 +158,7 @@
             self.record = current._replace(state=UpstreamState.DRAINING)
             logger.info("upstream-left", extra={"upstream": upstream_id})
             self._on_change()
-        self._refuse_queued("upstream-draining")
+        self._slots.deny_all("upstream-draining")
         return True
 
     def accepts_requests(self) -> bool:
@@ -203,29 +173,32 @@
             and not self.stopping
         )
 
+    def _count_slots(self) -> int:
+        return self.record.slots if self.record is not None and self.accepts_requests() else 0
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that are running."""
+        return self._slots.running
+
     def is_in_slow_start(self) -> bool:
         """Return whether the upstream is in slow start."""
         return self._loop.time() < self._slow_start_ends_at
 
     def get_load(self) -> Load:
         """Return the current load of the upstream."""
-        queued_by_priority = Counter(waiter.priority for waiter in self._queue)
         service_ms = self.service_ms if self._sample_count else 0.0
         return Load(
             self.running,
             service_ms,
-            tuple(queued_by_priority.items()),
-            self.is_saturated(),
+            tuple(self._slots.count_by_priority().items()),
+            self._slots.is_saturated(),
             round(self._failure_rate, 2),
         )
 
-    def is_saturated(self) -> bool:
-        """Return whether requests are queued and no slot has been free for some time."""
-        return bool(self._queue) and self._loop.time() - self._last_free_at > _SATURATION_S
-
     def log_slot_usage(self) -> None:
         """Log the use of the slots since the last call, if there were requests."""
-        usage = self._slot_usage.drain(self._loop.time())
+        usage = self._slots.drain_usage()
         if self.record is None or not (usage.granted or usage.denied):
             return
         logger.info(
@@ -234,7 +207,7 @@
                 "upstream": self.record.id,
                 "slots": self.record.slots,
                 "service_ms": round(self.service_ms, 1),
-                "queued": len(self._queue),
+                "queued": len(self._slots),
                 **usage._asdict(),
             },
         )
@@ -247,14 +220,10 @@
         refusal = self._check_admission(call)
         if refusal is not None:
             return refusal
-        assert self.record is not None
-        if self.running >= self.record.slots or self._queue:
-            granted = await self._wait_for_slot(call)
-            if not granted:
-                return self._refuse("upstream-busy")
-        else:
-            self._set_running(self.running + 1)
-            self._record_wait(0.0, granted=True)
+        if self._slots.has_free_slot():
+            self._slots.acquire()
+        elif not await self._wait_for_slot(call):
+            return self._refuse("upstream-busy")
         if call.route_kind is RouteKind.ONCE:
             # A request that must run at most once is not cancelled when its caller disconnects.
             task = self._loop.create_task(self._exchange(call, body, deadline))
@@ -269,12 +238,11 @@
             return self._refuse("upstream-unavailable")
         if record.service != call.service or (call.version and call.version != record.version):
             return self._refuse("upstream-other")
-        if self.running < record.slots and not self._queue:
-            self._last_free_at = self._loop.time()
+        if self._slots.has_free_slot():
             return None
         if call.queue_timeout_ms <= 0:
             return self._refuse("upstream-full")
-        ahead = sum(1 for waiter in self._queue if waiter.priority <= call.priority)
+        ahead = self._slots.count_ahead(call.priority)
         wait_ms = (ahead + 1) * self.service_ms / record.slots
         if wait_ms > self._compute_max_wait(call):
             return self._refuse("upstream-busy")
@@ -286,65 +254,21 @@
             queue_timeout_ms=call.queue_timeout_ms,
             remaining_ms=call.remaining_ms,
             service_ms=self.service_ms,
-            bound_by_objective=self.is_saturated() and not call.urgent,
+            bound_by_objective=self._slots.is_saturated() and not call.urgent,
         )
 
     def _refuse(self, code: str) -> Refused:
         slots = self.record.slots if self.record else 1
-        wait_s = (len(self._queue) + 1) * self.service_ms / slots / 1000
+        wait_s = (len(self._slots) + 1) * self.service_ms / slots / 1000
         retry_after_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
         return Refused(code, retry_after_s, self.get_load())
 
     async def _wait_for_slot(self, call: Call) -> bool:
-        future: asyncio.Future[bool] = self._loop.create_future()
-        self._last_arrival_number += 1
-        waiter = _Waiter(call.priority, self._last_arrival_number, future)
-        heapq.heappush(self._queue, waiter)
-        started_at = self._loop.time()
-        timer = self._loop.call_later(max(0.0, self._compute_max_wait(call)) / 1000, _deny, future)
-        try:
-            granted = await future
-            self._record_wait(self._loop.time() - started_at, granted=granted)
-            return granted
-        except asyncio.CancelledError:
-            if future.done() and not future.cancelled() and future.result():
-                self._release_slot()
-            raise
-        finally:
-            timer.cancel()
-            self._queue = [row for row in self._queue if row is not waiter]
-            heapq.heapify(self._queue)
-
-    def _start_queued(self) -> None:
-        slots = self.record.slots if self.record is not None else 0
-        while self._queue and self.running < slots and self.accepts_requests():
-            waiter = heapq.heappop(self._queue)
-            if not waiter.future.done():
-                self._set_running(self.running + 1)
-                waiter.future.set_result(True)
-        if self.running < slots:
-            self._last_free_at = self._loop.time()
-
-    def _refuse_queued(self, code: str) -> None:
-        if self._queue:
-            logger.info("waiting-refused", extra={"code": code, "requests": len(self._queue)})
-        for waiter in self._queue:
-            _deny(waiter.future)
-
-    def _release_slot(self) -> None:
-        self._set_running(self.running - 1)
-        self._start_queued()
-
-    def _set_running(self, running: int) -> None:
-        self.running = running
-        self._slot_usage.set_in_use(running, self._loop.time())
-
-    def _record_wait(self, wait_s: float, *, granted: bool) -> None:
-        self._slot_usage.record_wait(wait_s, granted=granted)
-        self._metrics.observe("slot_wait_seconds", wait_s, "granted" if granted else "denied")
+        max_wait_s = self._compute_max_wait(call) / 1000
+        return await self._slots.wait(call.priority, max_wait_s=max_wait_s)
 
     async def _exchange(self, call: Call, body: bytes, deadline: float) -> Outcome:
-        slot_hold = _SlotHold(self._release_slot)
+        slot_hold = SlotHold(self._slots.release)
         try:
             conn = await self._connect(call)
             if conn is None:
@@ -365,7 +289,7 @@
         call: Call,
         body: bytes,
         deadline: float,
-        slot_hold: _SlotHold,
+        slot_hold: SlotHold,
     ) -> Outcome:
         record = self.record
         if record is None or not self._may_still_send(call, record):
@@ -439,7 +363,7 @@
     def _mark_unavailable(self, exc: OSError) -> None:
         logger.warning("upstream-unreachable", extra={"error": repr(exc)})
         self._unavailable_until = self._loop.time() + _UNAVAILABLE_S
-        self._refuse_queued("upstream-unreachable")
+        self._slots.deny_all("upstream-unreachable")
         self._on_change()
 
     def _close_idle_connections(self) -> None:
@@ -485,8 +409,3 @@
         self._on_result(
             CallResult(record.service, record.version, call.route, failed, took_ms, in_slow_start)
         )
-
-
-def _deny(future: asyncio.Future[bool]) -> None:
-    if not future.done():
-        future.set_result(False)
