Log the limit that an upstream names and that it leaves

The hypotheses on LIMIT can't be told apart, since no line holds a limit. The node beside the upstream now reads both headers of responses to its own requests, logs each change with the request whose response named it, and gives the limit in slot-usage. Nothing is decided by them yet.

--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable
 
     from balsamhead.mesh._metrics import MeshMetrics
+    from balsamhead.platform.headers import UpstreamHeaders
 
 __all__ = ("CallResult", "LocalUpstream")
 
@@ -99,6 +100,7 @@
         self.service_ms = _DEFAULT_SERVICE_MS
         self._sample_count = 0
         self._failure_rate = 0.0
+        self._limit_per_s: float | None = None
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
 
@@ -127,6 +129,7 @@
             self.service_ms = _DEFAULT_SERVICE_MS
             self._sample_count = 0
             self._failure_rate = 0.0
+            self._limit_per_s = None
         now = self._loop.time()
         self.record = record
         self._announced_at = now
@@ -207,6 +210,7 @@
                 "upstream": self.record.id,
                 "slots": self.record.slots,
                 "service_ms": round(self.service_ms, 1),
+                "limit_per_s": self._limit_per_s,
                 "queued": len(self._slots),
                 **usage._asdict(),
             },
@@ -316,6 +320,7 @@
             upstream_id=record.id,
             remaining_ms=max(1, int(remaining_s * 1000)),
             on_complete=finish,
+            on_head=lambda fields: self._apply_notices(call, record, fields),
         )
         try:
             outcome = await future
@@ -331,6 +336,28 @@
         self._record_outcome(call, record, outcome, took_s * 1000)
         return outcome
 
+    def _apply_notices(self, call: Call, record: UpstreamRecord, fields: UpstreamHeaders) -> None:
+        if self.record is None or self.record.started_at_ms != record.started_at_ms:
+            # the response is of an earlier incarnation
+            return
+        if fields.limit_per_s != self._limit_per_s:
+            logger.info(
+                "upstream-limit-changed",
+                extra={
+                    "upstream": record.id,
+                    "limit_per_s": fields.limit_per_s,
+                    "previous_per_s": self._limit_per_s,
+                    "request": call.request_id.decode("latin-1"),
+                    "running": self.running,
+                },
+            )
+            self._limit_per_s = fields.limit_per_s
+        if fields.leaving and record.state is not UpstreamState.DRAINING:
+            logger.info(
+                "upstream-leaving",
+                extra={"upstream": record.id, "request": call.request_id.decode("latin-1")},
+            )
+
     def _update_failure_rate(self, *, failed: bool) -> None:
         self._failure_rate += _FAILURE_WEIGHT * (failed - self._failure_rate)
 
--- a/balsamhead/mesh/_upstream_connection.py
+++ b/balsamhead/mesh/_upstream_connection.py
@@ -67,6 +67,7 @@
         self._buffered_bytes = 0
         self._pipe: BodyPipe | None = None
         self._on_complete: Callable[[], None] | None = None
+        self._on_head: Callable[[UpstreamHeaders], None] | None = None
         self._discarding = False
         self._write_paused = False
         #: time until which it may be used again, in s of the event loop's clock; 0 for not at all
@@ -138,13 +139,15 @@
         upstream_id: str,
         remaining_ms: int,
         on_complete: Callable[[], None],
+        on_head: Callable[[UpstreamHeaders], None] | None = None,
     ) -> asyncio.Future[Outcome]:
         """Send a request and return a future of its outcome.
 
+        :param on_head: called with the platform's headers of the response to this request.
         :param on_complete: called when the exchange has ended, including a streamed body.
         """
         assert self._transport is not None
-        self._call, self._on_complete = call, on_complete
+        self._call, self._on_complete, self._on_head = call, on_complete, on_head
         self._future = self._loop.create_future()
         self._response_start, self._fields, self._decoder, self._pipe = None, None, None, None
         self._buffered, self._buffered_bytes, self.response_started = [], 0, False
@@ -199,6 +202,8 @@
                 "late-response-discarded", extra={"id": fields.request_id.decode("latin-1")}
             )
             self._discarding = True
+        elif self._on_head is not None and (fields.signed or fields.not_executed):
+            self._on_head(fields)
         self._response_start, self._fields = start, fields
         self._decoder = BodyDecoder(start.length)
         return True
@@ -322,7 +327,7 @@
 
     def _complete(self, outcome: Outcome) -> None:
         future, on_complete = self._future, self._on_complete
-        self._call, self._future, self._on_complete = None, None, None
+        self._call, self._future, self._on_complete, self._on_head = None, None, None, None
         self._buffer.clear()
         self._discarding = False
         if on_complete is not None:
--- a/balsamhead/platform/headers.py
+++ b/balsamhead/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.util.http1 import CONNECTION_HEADERS, parse_integer_header
@@ -20,6 +21,8 @@
     "parse_upstream_headers",
 )
 
+#: a decimal number without a sign or an exponent
+_LIMIT: Final = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 #: request headers that are not forwarded to the upstream, as the node sets its own
 DROPPED_REQUEST_HEADERS: Final = CONNECTION_HEADERS | {
     b"deadline-ms",
@@ -56,6 +59,10 @@
     upstream_id: str
     #: idle timeout of the connection, in s; None if the upstream doesn't state it
     keep_alive_s: int | None
+    #: requests a second that the upstream accepts from all nodes together; None for no limit
+    limit_per_s: float | None
+    #: the upstream is leaving and should get no more requests
+    leaving: bool
 
 
 def parse_caller_headers(headers: Mapping[bytes, list[bytes]]) -> CallerHeaders:
@@ -91,6 +98,8 @@
         has_content_coding=coding not in (b"", b"identity"),
         upstream_id=headers.get(b"instance-id", [b""])[0].decode("latin-1"),
         keep_alive_s=_parse_keep_alive_timeout(headers.get(b"keep-alive", [b""])[0]),
+        limit_per_s=_parse_limit(headers.get(b"server-limit")),
+        leaving=headers.get(b"server-leaving") == [b"1"],
     )
 
 
@@ -99,6 +108,12 @@
     return b"Retry-After: %.3f\r\n" % seconds
 
 
+def _parse_limit(values: list[bytes] | None) -> float | None:
+    if values is None or len(values) != 1 or not _LIMIT.fullmatch(values[0]):
+        return None
+    return float(values[0])
+
+
 def _parse_keep_alive_timeout(value: bytes) -> int | None:
     for option in value.split(b","):
         name, _, number = option.strip().partition(b"=")
