Keep the rate limit that an upstream names at the upstream's node

Cause: the header passed through every node unread. Admission and selection knew slots alone, so an upstream whose limit was below its slots' throughput went on as before.

Change: every request to an upstream passes the node beside it, so that node keeps the limit alone, with a token bucket in front of the slots; a request waits there by priority or is refused unrun with the code upstream-limited and the time until the next one.

--- a/balsamhead/mesh/_calls.py
+++ b/balsamhead/mesh/_calls.py
@@ -16,6 +16,7 @@
     "Outcome",
     "OutcomeUnknown",
     "Refused",
+    "ResponseNotices",
     "ResponseTruncatedError",
     "UpstreamResponse",
 )
@@ -49,6 +50,15 @@
     urgent: bool = False
 
 
+class ResponseNotices(NamedTuple):
+    """What an upstream says of itself in a response."""
+
+    #: requests per s that it accepts from all nodes together; None for no limit
+    limit_per_s: float | None
+    #: it is leaving and should get no more requests
+    leaving: bool
+
+
 class UpstreamResponse(NamedTuple):
     """Response of an upstream; a streamed one holds the first part of its body."""
 
--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -37,6 +37,7 @@
     HEARTBEAT_REPLY = 3
     UPSTREAM = 4
     LOAD = 5
+    UPSTREAM_NOTICE = 6
     # calls and their outcomes; CREDIT enlarges the send window of a response
     CALL = 10
     CALL_BODY = 11
--- a/balsamhead/mesh/_link_manager.py
+++ b/balsamhead/mesh/_link_manager.py
@@ -11,7 +11,7 @@
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header, encode_frame
 from balsamhead.mesh._link import Link
 from balsamhead.mesh._peers import Heartbeat, Hello, Peer, PeerTable, UpstreamView
-from balsamhead.mesh.model import Load, NodeRecord
+from balsamhead.mesh.model import Load, NodeRecord, UpstreamNotice
 
 if TYPE_CHECKING:
     import random
@@ -63,6 +63,9 @@
         """Run a call of a peer on this node's upstream."""
         raise NotImplementedError
 
+    def peer_linked(self, peer: Peer, link: Link) -> None:
+        """Handle the first message on a link."""
+
     def peer_state_received(self, peer: Peer, link: Link) -> None:
         """Handle a hello or heartbeat; ``peer`` already holds the new state."""
 
@@ -177,6 +180,10 @@
         """Send the state of this node's upstream to all peers."""
         self.broadcast(encode_frame(FrameKind.UPSTREAM, 0, (view,)))
 
+    def announce_notice(self, notice: UpstreamNotice) -> None:
+        """Send a notice of this node's upstream to all peers."""
+        self.broadcast(encode_frame(FrameKind.UPSTREAM_NOTICE, 0, notice))
+
     def announce_load(self) -> None:
         """Schedule a load report to the peers of this data centre; reports are rate-limited."""
         if self._load_timer is not None:
@@ -310,6 +317,8 @@
             case FrameKind.UPSTREAM:
                 peer.upstream = decode_header(frame, tuple[UpstreamView | None], peer=link.peer)[0]
                 self.epoch += 1
+            case FrameKind.UPSTREAM_NOTICE:
+                peer.record_notice(decode_header(frame, UpstreamNotice, peer=link.peer))
             case _:
                 try:
                     self._handler.frame_received(peer, link, frame)
@@ -351,6 +360,7 @@
         peer.stopping = hello.stopping
         self.epoch += 1
         peer.record_load(hello.load, self._loop.time())
+        self._handler.peer_linked(peer, link)
         self._handler.peer_state_received(peer, link)
 
     def _handle_heartbeat(self, peer: Peer, link: Link, frame: Frame) -> None:
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -16,6 +16,7 @@
     "Rollout",
     "Route",
     "RouteKind",
+    "UpstreamNotice",
     "UpstreamRecord",
     "UpstreamState",
     "WeightedService",
@@ -122,6 +123,16 @@
     sequence: int
 
 
+class UpstreamNotice(NamedTuple):
+    """What one incarnation of an upstream says of itself in its responses."""
+
+    upstream_id: str
+    #: when the incarnation started, in ms since the epoch
+    started_at_ms: int
+    #: requests per s that it accepts from all nodes together; None for no limit
+    limit_per_s: float | None
+
+
 class Load(NamedTuple):
     """Load of an upstream."""
 
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -23,7 +23,7 @@
 from balsamhead.mesh._traffic_split import TrafficSplit
 from balsamhead.mesh._upstream import LocalUpstream
 from balsamhead.mesh._upstream_index import UpstreamIndex
-from balsamhead.mesh.model import Limits, NodeRecord, OperatorState, Phase, Rollout
+from balsamhead.mesh.model import Limits, NodeRecord, OperatorState, Phase, Rollout, UpstreamNotice
 from balsamhead.platform.headers import DROPPED_REQUEST_HEADERS
 from balsamhead.platform.messages import (
     decode_heartbeat,
@@ -155,6 +155,7 @@
         self._stopping = False
         self._links_deadline = 0.0
         self._announced_upstream: UpstreamView | None = None
+        self._announced_notice: UpstreamNotice | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._was_ready = False
         self._slot_usage_due_at = 0.0
@@ -338,6 +339,10 @@
             self._local_upstream.log_slot_usage()
 
     def _upstream_changed(self) -> None:
+        notice = self._local_upstream.get_notice()
+        if notice is not None and notice != self._announced_notice:
+            self._announced_notice = notice
+            self._link_manager.announce_notice(notice)
         upstream_view = self._describe_upstream()
         if upstream_view != self._announced_upstream:
             self._announced_upstream = upstream_view
@@ -389,6 +394,11 @@
         self._link_manager.announce_load()
         return self._run_call(call, body)
 
+    def peer_linked(self, peer: Peer, link: Link) -> None:
+        """Send the peer the notice of this node's upstream."""
+        if self._announced_notice is not None:
+            link.send(FrameKind.UPSTREAM_NOTICE, 0, self._announced_notice)
+
     def peer_state_received(self, peer: Peer, link: Link) -> None:
         """Request the operator's state if the peer's is newer; send the rollouts if they differ."""
         if peer.offset > self._sync.offset:
--- a/balsamhead/mesh/_peers.py
+++ b/balsamhead/mesh/_peers.py
@@ -6,7 +6,7 @@
 import math
 from typing import TYPE_CHECKING, Final, NamedTuple
 
-from balsamhead.mesh.model import Load, NodeRecord
+from balsamhead.mesh.model import Load, NodeRecord, UpstreamNotice
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -66,9 +66,11 @@
         "dialling",
         "failed_dials",
         "in_flight",
+        "limited_until",
         "link",
         "load",
         "load_reported_at",
+        "notice",
         "offset",
         "record",
         "rollout_checksum",
@@ -89,6 +91,10 @@
         self._in_flight_at_report: dict[int, int] = {}
         #: no calls are sent there before this time, in s of the loop's clock
         self.backoff_until = 0.0
+        #: newest known notice of an upstream there
+        self.notice: UpstreamNotice | None = None
+        #: the rate limit there admits no calls before this time, in s of the loop's clock
+        self.limited_until = 0.0
         self.offset = -1
         self.rollout_checksum = 0
         self.stopping = False
@@ -109,6 +115,17 @@
         if ended is not None:
             self._in_flight_at_report[ended] = self._in_flight_at_report.get(ended, 0) - 1
 
+    def record_notice(self, notice: UpstreamNotice) -> None:
+        """Record a notice of the peer's upstream, unless it is of an earlier incarnation."""
+        if self.notice is None or notice.started_at_ms >= self.notice.started_at_ms:
+            self.notice = notice
+
+    def get_limit(self) -> float | None:
+        """Return the rate limit of the peer's upstream, in requests per s; None for none."""
+        if self.notice is None or self.upstream is None:
+            return None
+        return self.notice.limit_per_s if self.notice.upstream_id == self.upstream.id else None
+
     def estimate_requests_ahead(self, now: float, priority: int) -> float:
         """Return the estimated number of requests ahead of a call at the peer's upstream.
 
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -52,6 +52,8 @@
 _STOPPING_RETRY_AFTER_S: Final = 0.02
 #: how long a peer that could not reach its upstream is sent no calls, in s
 _PEER_BACKOFF_S: Final = 0.3
+#: codes of refusals by an upstream that has no room at once, but may have some soon
+_FULL_CODES: Final = ("upstream-full", "upstream-limited")
 #: statuses of requests that were not served for lack of capacity or time
 _UNSERVED_STATUSES: Final = (503, 504)
 #: one in this many responses is logged, besides those with a 5xx status
@@ -166,7 +168,7 @@
             )
             took_ms = (self._loop.time() - sent_at) * 1000
             trace.attempts.append(Attempt(node, took_ms, _describe_outcome(outcome)))
-            if isinstance(outcome, Refused) and outcome.code == "upstream-full" and not may_wait:
+            if isinstance(outcome, Refused) and outcome.code in _FULL_CODES and not may_wait:
                 # The refusal carried the upstream's load, so the next selection takes it into
                 # account and selects another node or lets the request wait.
                 full_nodes += 1
@@ -314,6 +316,8 @@
             outcome = await peer.link.call(call, request.body)
         finally:
             peer.in_flight[priority] -= 1
+        if isinstance(outcome, Refused) and outcome.code == "upstream-limited":
+            peer.limited_until = self._loop.time() + outcome.retry_after_s
         if isinstance(outcome, Refused) and outcome.code in (
             "upstream-unreachable",
             "upstream-unavailable",
--- a/balsamhead/mesh/_request_trace.py
+++ b/balsamhead/mesh/_request_trace.py
@@ -31,6 +31,8 @@
             "room_ms": round(self.max_wait_ms),
             "load_age_s": round(min(candidate.load_age_s, _MAX_LOAD_AGE_S), 2),
             "saturated": candidate.saturated,
+            "slots": round(candidate.slots, 1),
+            "limit_wait_ms": round(candidate.limit_wait_ms),
             "upstreams": self.candidate_count,
         }
 
--- a/balsamhead/mesh/_selection.py
+++ b/balsamhead/mesh/_selection.py
@@ -10,7 +10,7 @@
     import random
     from collections.abc import Iterable
 
-__all__ = ("Candidate", "Locality", "select_upstream")
+__all__ = ("Candidate", "Locality", "estimate_concurrency", "select_upstream")
 
 #: cost of transferring a kB between data centres, as an equivalent delay in ms
 _CROSS_DATA_CENTRE_MS_PER_KB: Final = 10.0
@@ -53,7 +53,8 @@
     #: name of the upstream's node
     node: str
     version: str
-    slots: int
+    #: number of requests that the upstream can run at once, within its rate limit
+    slots: float
     #: requests that are running there, or are queued there ahead of the call
     requests_ahead: float
     #: mean time of a request, in ms; 0 if unknown
@@ -67,6 +68,8 @@
     failure_rate: float = 0.0
     #: time since the load was reported, in s
     load_age_s: float = 0.0
+    #: how long the rate limit delays the next request, in ms
+    limit_wait_ms: float = 0.0
 
 
 class Selection(NamedTuple):
@@ -79,7 +82,21 @@
 def estimate_wait(candidate: Candidate) -> float:
     """Return the expected wait for a slot, in ms."""
     excess = candidate.requests_ahead + 1 - candidate.slots
-    return max(0.0, excess) * candidate.service_ms / candidate.slots
+    slot_wait_ms = max(0.0, excess) * candidate.service_ms / candidate.slots
+    return max(slot_wait_ms, candidate.limit_wait_ms)
+
+
+def estimate_concurrency(slots: int, *, limit_per_s: float | None, service_ms: float) -> float:
+    """Return how many requests an upstream can run at once without exceeding its rate limit.
+
+    By Little's law, a rate keeps that rate times the service time in use. At least one request can
+    always run.
+
+    :param service_ms: mean time of a request there, in ms; 0 if unknown.
+    """
+    if limit_per_s is None or not service_ms:
+        return slots
+    return max(1.0, min(slots, limit_per_s * service_ms / 1000))
 
 
 def select_upstream(
--- a/balsamhead/mesh/_slot_queue.py
+++ b/balsamhead/mesh/_slot_queue.py
@@ -1,4 +1,4 @@
-"""Grant the slots of an upstream to requests, and queue those that wait by priority."""
+"""Grant the slots of an upstream within its rate limit, and queue requests by priority."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final, NamedTuple
 
+from balsamhead.mesh._rate_limit import RateLimit
 from balsamhead.mesh._slot_usage import SlotUsage
 
 if TYPE_CHECKING:
@@ -22,6 +23,8 @@
 
 #: time without a free slot after which the upstream is saturated, in s
 _SATURATION_S: Final = 0.5
+#: shortest delay of the timer that starts requests which wait for the rate limit, in s
+_MIN_TIMER_S: Final = 0.001
 
 
 class _Waiter(NamedTuple):
@@ -59,6 +62,8 @@
         self._last_arrival_number = 0
         #: when a slot was last known to be free, in s of the loop's clock
         self._last_free_at = self._loop.time()
+        self._limit = RateLimit()
+        self._limit_timer: asyncio.TimerHandle | None = None
         self._usage = SlotUsage(self._loop.time())
         #: number of slots in use
         self.running = 0
@@ -66,6 +71,23 @@
     def __len__(self) -> int:
         return len(self._queue)
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """Return the rate limit of the upstream, in requests per s; None for no limit."""
+        return self._limit.limit_per_s
+
+    def set_limit(self, limit_per_s: float | None) -> None:
+        """Change the rate limit of the upstream, in requests per s; None for no limit."""
+        self._limit.set_limit(limit_per_s, self._loop.time())
+        self.start_queued()
+
+    def get_limit_delay(self, *, ahead: int = 0) -> float:
+        """Return the time until the rate limit admits a request, in s.
+
+        :param ahead: number of requests that go before it.
+        """
+        return self._limit.get_delay(self._loop.time(), ahead=ahead)
+
     def count_by_priority(self) -> Counter[int]:
         """Return the number of queued requests by priority."""
         return Counter(waiter.priority for waiter in self._queue)
@@ -80,13 +102,16 @@
 
     def has_free_slot(self) -> bool:
         """Return whether a request would get a slot at once."""
-        free = not self._queue and self.running < self._count_slots()
+        free = (
+            not self._queue and self.running < self._count_slots() and self.get_limit_delay() <= 0.0
+        )
         if free:
             self._last_free_at = self._loop.time()
         return free
 
     def acquire(self) -> None:
         """Use a free slot at once."""
+        self._limit.try_acquire(self._loop.time())
         self._set_running(self.running + 1)
         self._record_wait(0.0, granted=True)
 
@@ -97,6 +122,7 @@
         waiter = _Waiter(priority, self._last_arrival_number, future)
         heapq.heappush(self._queue, waiter)
         started_at = self._loop.time()
+        self.start_queued()
         timer = self._loop.call_later(max(0.0, max_wait_s), _deny, future)
         try:
             granted = await future
@@ -113,14 +139,27 @@
 
     def start_queued(self) -> None:
         """Grant free slots to queued requests, the highest priority first."""
-        slots = self._count_slots()
+        now, slots = self._loop.time(), self._count_slots()
         while self._queue and self.running < slots:
-            waiter = heapq.heappop(self._queue)
-            if not waiter.future.done():
-                self._set_running(self.running + 1)
-                waiter.future.set_result(True)
-        if self.running < slots:
-            self._last_free_at = self._loop.time()
+            if self._queue[0].future.done():
+                heapq.heappop(self._queue)
+                continue
+            if not self._limit.try_acquire(now):
+                self._schedule_start()
+                return
+            self._set_running(self.running + 1)
+            heapq.heappop(self._queue).future.set_result(True)
+        if self.running < slots and self.get_limit_delay() <= 0.0:
+            self._last_free_at = now
+
+    def _schedule_start(self) -> None:
+        if self._limit_timer is None:
+            delay_s = max(self.get_limit_delay(), _MIN_TIMER_S)
+            self._limit_timer = self._loop.call_later(delay_s, self._limit_passed)
+
+    def _limit_passed(self) -> None:
+        self._limit_timer = None
+        self.start_queued()
 
     def deny_all(self, code: str) -> None:
         """Deny a slot to all queued requests."""
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -12,18 +12,18 @@
     Outcome,
     OutcomeUnknown,
     Refused,
+    ResponseNotices,
     UpstreamResponse,
 )
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
 from balsamhead.mesh._upstream_connection import UpstreamConnection
-from balsamhead.mesh.model import Load, RouteKind, UpstreamRecord, UpstreamState
+from balsamhead.mesh.model import Load, RouteKind, UpstreamNotice, UpstreamRecord, UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from balsamhead.mesh._metrics import MeshMetrics
-    from balsamhead.platform.headers import UpstreamHeaders
 
 __all__ = ("CallResult", "LocalUpstream")
 
@@ -100,7 +100,6 @@
         self.service_ms = _DEFAULT_SERVICE_MS
         self._sample_count = 0
         self._failure_rate = 0.0
-        self._limit_per_s: float | None = None
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
 
@@ -129,7 +128,7 @@
             self.service_ms = _DEFAULT_SERVICE_MS
             self._sample_count = 0
             self._failure_rate = 0.0
-            self._limit_per_s = None
+            self._slots.set_limit(None)
         now = self._loop.time()
         self.record = record
         self._announced_at = now
@@ -199,6 +198,21 @@
             round(self._failure_rate, 2),
         )
 
+    def get_limit_wait(self) -> float:
+        """Return how long the rate limit of the upstream delays a new request, in s."""
+        return self._slots.get_limit_delay(ahead=len(self._slots))
+
+    def get_notice(self) -> UpstreamNotice | None:
+        """Return what the upstream says of itself in its responses; None if there is none."""
+        record = self.record
+        if record is None:
+            return None
+        return UpstreamNotice(record.id, record.started_at_ms, self._slots.limit_per_s)
+
+    def get_limit(self) -> float | None:
+        """Return the rate limit that the upstream names, in requests per s; None for none."""
+        return self._slots.limit_per_s
+
     def log_slot_usage(self) -> None:
         """Log the use of the slots since the last call, if there were requests."""
         usage = self._slots.drain_usage()
@@ -210,7 +224,7 @@
                 "upstream": self.record.id,
                 "slots": self.record.slots,
                 "service_ms": round(self.service_ms, 1),
-                "limit_per_s": self._limit_per_s,
+                "limit_per_s": self._slots.limit_per_s,
                 "queued": len(self._slots),
                 **usage._asdict(),
             },
@@ -244,14 +258,21 @@
             return self._refuse("upstream-other")
         if self._slots.has_free_slot():
             return None
+        limited = self.running < record.slots and self._slots.get_limit_delay() > 0.0
         if call.queue_timeout_ms <= 0:
-            return self._refuse("upstream-full")
-        ahead = self._slots.count_ahead(call.priority)
-        wait_ms = (ahead + 1) * self.service_ms / record.slots
-        if wait_ms > self._compute_max_wait(call):
+            return self._refuse("upstream-limited" if limited else "upstream-full")
+        if self._estimate_wait(self._slots.count_ahead(call.priority)) > self._compute_max_wait(
+            call
+        ):
             return self._refuse("upstream-busy")
         return None
 
+    def _estimate_wait(self, ahead: int) -> float:
+        """Return the expected wait of a request for a slot behind others, in ms."""
+        slots = self.record.slots if self.record else 1
+        slot_wait_ms = (ahead + 1) * self.service_ms / slots
+        return max(slot_wait_ms, self._slots.get_limit_delay(ahead=ahead) * 1000)
+
     def _compute_max_wait(self, call: Call) -> float:
         return compute_max_wait(
             objective_ms=call.objective_ms,
@@ -262,8 +283,7 @@
         )
 
     def _refuse(self, code: str) -> Refused:
-        slots = self.record.slots if self.record else 1
-        wait_s = (len(self._slots) + 1) * self.service_ms / slots / 1000
+        wait_s = self._estimate_wait(len(self._slots)) / 1000
         retry_after_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
         return Refused(code, retry_after_s, self.get_load())
 
@@ -320,7 +340,7 @@
             upstream_id=record.id,
             remaining_ms=max(1, int(remaining_s * 1000)),
             on_complete=finish,
-            on_head=lambda fields: self._apply_notices(call, record, fields),
+            on_notices=lambda notices: self._apply_notices(call, record, notices),
         )
         try:
             outcome = await future
@@ -336,23 +356,24 @@
         self._record_outcome(call, record, outcome, took_s * 1000)
         return outcome
 
-    def _apply_notices(self, call: Call, record: UpstreamRecord, fields: UpstreamHeaders) -> None:
+    def _apply_notices(self, call: Call, record: UpstreamRecord, notices: ResponseNotices) -> None:
         if self.record is None or self.record.started_at_ms != record.started_at_ms:
             # the response is of an earlier incarnation
             return
-        if fields.limit_per_s != self._limit_per_s:
+        if notices.limit_per_s != self._slots.limit_per_s:
             logger.info(
                 "upstream-limit-changed",
                 extra={
                     "upstream": record.id,
-                    "limit_per_s": fields.limit_per_s,
-                    "previous_per_s": self._limit_per_s,
+                    "limit_per_s": notices.limit_per_s,
+                    "previous_per_s": self._slots.limit_per_s,
                     "request": call.request_id.decode("latin-1"),
                     "running": self.running,
                 },
             )
-            self._limit_per_s = fields.limit_per_s
-        if fields.leaving and record.state is not UpstreamState.DRAINING:
+            self._slots.set_limit(notices.limit_per_s)
+            self._on_change()
+        if notices.leaving and record.state is not UpstreamState.DRAINING:
             logger.info(
                 "upstream-leaving",
                 extra={"upstream": record.id, "request": call.request_id.decode("latin-1")},
--- a/balsamhead/mesh/_upstream_connection.py
+++ b/balsamhead/mesh/_upstream_connection.py
@@ -12,6 +12,7 @@
     NotExecuted,
     Outcome,
     OutcomeUnknown,
+    ResponseNotices,
     UpstreamResponse,
 )
 from balsamhead.platform.headers import (
@@ -67,7 +68,7 @@
         self._buffered_bytes = 0
         self._pipe: BodyPipe | None = None
         self._on_complete: Callable[[], None] | None = None
-        self._on_head: Callable[[UpstreamHeaders], None] | None = None
+        self._on_notices: Callable[[ResponseNotices], None] | None = None
         self._discarding = False
         self._write_paused = False
         #: time until which it may be used again, in s of the event loop's clock; 0 for not at all
@@ -139,15 +140,15 @@
         upstream_id: str,
         remaining_ms: int,
         on_complete: Callable[[], None],
-        on_head: Callable[[UpstreamHeaders], None] | None = None,
+        on_notices: Callable[[ResponseNotices], None] | None = None,
     ) -> asyncio.Future[Outcome]:
         """Send a request and return a future of its outcome.
 
-        :param on_head: called with the platform's headers of the response to this request.
+        :param on_notices: called with what the response to this request says of the upstream.
         :param on_complete: called when the exchange has ended, including a streamed body.
         """
         assert self._transport is not None
-        self._call, self._on_complete, self._on_head = call, on_complete, on_head
+        self._call, self._on_complete, self._on_notices = call, on_complete, on_notices
         self._future = self._loop.create_future()
         self._response_start, self._fields, self._decoder, self._pipe = None, None, None, None
         self._buffered, self._buffered_bytes, self.response_started = [], 0, False
@@ -202,8 +203,8 @@
                 "late-response-discarded", extra={"id": fields.request_id.decode("latin-1")}
             )
             self._discarding = True
-        elif self._on_head is not None and (fields.signed or fields.not_executed):
-            self._on_head(fields)
+        elif self._on_notices is not None and (fields.signed or fields.not_executed):
+            self._on_notices(ResponseNotices(fields.limit_per_s, fields.leaving))
         self._response_start, self._fields = start, fields
         self._decoder = BodyDecoder(start.length)
         return True
@@ -327,7 +328,7 @@
 
     def _complete(self, outcome: Outcome) -> None:
         future, on_complete = self._future, self._on_complete
-        self._call, self._future, self._on_complete, self._on_head = None, None, None, None
+        self._call, self._future, self._on_complete, self._on_notices = None, None, None, None
         self._buffer.clear()
         self._discarding = False
         if on_complete is not None:
--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final, NamedTuple
 
-from balsamhead.mesh._selection import Candidate, Locality
+from balsamhead.mesh._selection import Candidate, Locality, estimate_concurrency
 
 if TYPE_CHECKING:
     import random
@@ -161,7 +161,9 @@
         return Candidate(
             node=record.name,
             version=view.version,
-            slots=view.slots,
+            slots=estimate_concurrency(
+                view.slots, limit_per_s=peer.get_limit(), service_ms=peer.load.service_ms
+            ),
             requests_ahead=peer.estimate_requests_ahead(now, priority),
             service_ms=peer.load.service_ms,
             in_slow_start=view.in_slow_start,
@@ -173,6 +175,7 @@
             saturated=peer.load.saturated,
             failure_rate=peer.load.failure_rate,
             load_age_s=now - peer.load_reported_at,
+            limit_wait_ms=max(0.0, peer.limited_until - now) * 1000,
         )
 
     def _make_local_candidate(self, priority: int) -> Candidate:
@@ -181,11 +184,14 @@
         return Candidate(
             node=self._cfg.node,
             version=record.version,
-            slots=record.slots,
+            slots=estimate_concurrency(
+                record.slots, limit_per_s=self._local.get_limit(), service_ms=load.service_ms
+            ),
             requests_ahead=load.count_requests_ahead(priority),
             service_ms=load.service_ms,
             in_slow_start=self._local.is_in_slow_start(),
             locality=_SAME_VM,
             saturated=load.saturated,
             failure_rate=load.failure_rate,
+            limit_wait_ms=self._local.get_limit_wait() * 1000,
         )
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -19,12 +19,21 @@
         "_metrics",
         "_model",
         "_queue_timeout",
+        "_rate_limit",
         "_records",
         "_settings",
         "_slot_usage",
     ),
     ("model",),
-    ("_frames", "_flow_control", "_routes", "_selection", "_traffic_split", "_state_history"),
+    (
+        "_frames",
+        "_flow_control",
+        "_routes",
+        "_selection",
+        "_slot_queue",
+        "_traffic_split",
+        "_state_history",
+    ),
     ("_server", "_upstream_connection", "_link", "_request_trace"),
     ("_peers", "_upstream"),
     ("_link_manager", "_evidence"),
@@ -39,7 +48,7 @@
 #: wire names of the platform, which only the adapter may contain
 WIRE_WORDS = re.compile(
     r"beat_addr|target_latency|Target-Instance|Not-Executed|Server-Stamp|(?<!X-)Deadline-Ms"
-    r"|Caller-Service|/log-append|/log-newest|/log-read|keyed\.|path_prefix|cold_left|/instances"
+    r"|Caller-Service|Server-Limit|Server-Leaving|/log-append|/log-newest|/log-read|keyed\.|path_prefix|cold_left|/instances"
 )
 
 
--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -126,6 +126,10 @@
         self.requests: list[Request] = []
         self.running = 0
         self.max_running = 0
+        #: header lines of each response besides the usual ones
+        self.extra_headers = b""
+        #: when each request arrived, in s of the loop's clock
+        self.arrival_times: list[float] = []
         #: returns a reply that replaces the usual one, or None
         self.make_custom_reply: Callable[[Request], Reply | None] = lambda request: None
         self._server = HttpServer(self._run, get_limits=lambda: LIMITS)
@@ -179,6 +183,7 @@
             return Reply(421, headers=b"Instance-Id: other\r\n")
         request_id = values[b"request-id"][0]
         self.requests.append(request)
+        self.arrival_times.append(asyncio.get_running_loop().time())
         self.run_counts[request_id.decode()] += 1
         self.running += 1
         self.max_running = max(self.max_running, self.running)
@@ -188,7 +193,7 @@
             if other is not None:
                 return other
             headers = b"Request-Id: %b\r\nServer-Stamp: %b\r\n" % (request_id, self.id.encode())
-            return Reply(200, b"from " + self.id.encode(), headers)
+            return Reply(200, b"from " + self.id.encode(), headers + self.extra_headers)
         finally:
             self.running -= 1
 
