Remember departures across a restart of the node beside the upstream

Class of fault: an acknowledged fact is kept only in a process that may restart, or not at all.

Change: a departure is kept also for an upstream that was never announced (all its incarnations started before now have left). What an incarnation has said of itself is sent to peers in its notice; peers keep that it leaves, choose it no more whatever its node says later, and tell a node that links again what they kept of its upstream. Server-Leaving in a response counts as leaving.

--- /dev/null
+++ b/balsamhead/mesh/_departures.py
@@ -0,0 +1,47 @@
+"""Remember which incarnations of upstreams have left, so that a late announcement revives none."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamhead.mesh.model import UpstreamRecord
+
+__all__ = ("Departures",)
+
+
+class Departures:
+    """Incarnations that have left, by id and start time."""
+
+    def __init__(self) -> None:
+        #: sequence of the last announcement before each departure; -1 if it is unknown
+        self._sequences: dict[tuple[str, int], int] = {}
+        #: when an upstream deregistered that had not been announced, in ms since the epoch, by id
+        self._unannounced: dict[str, int] = {}
+
+    def add(self, record: UpstreamRecord) -> None:
+        """Add the incarnation of a record."""
+        key = (record.id, record.started_at_ms)
+        self._sequences[key] = max(record.sequence, self._sequences.get(key, -1))
+
+    def add_incarnation(self, upstream_id: str, started_at_ms: int) -> None:
+        """Add an incarnation that another node has reported."""
+        self._sequences.setdefault((upstream_id, started_at_ms), -1)
+
+    def add_unannounced(self, upstream_id: str, now_ms: int) -> None:
+        """Add all incarnations of an upstream that started before now.
+
+        :param now_ms: the current time, in ms since the epoch.
+        """
+        self._unannounced[upstream_id] = now_ms
+
+    def has_left(self, record: UpstreamRecord) -> bool:
+        """Return whether the incarnation of a record has left."""
+        return (
+            record.id,
+            record.started_at_ms,
+        ) in self._sequences or record.started_at_ms <= self._unannounced.get(record.id, -1)
+
+    def is_outdated(self, record: UpstreamRecord) -> bool:
+        """Return whether a record was sent before the departure of its incarnation."""
+        return self._sequences.get((record.id, record.started_at_ms), -1) >= record.sequence
--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -38,6 +38,8 @@
     UPSTREAM = 4
     LOAD = 5
     UPSTREAM_NOTICE = 6
+    # last notice of the receiver's own upstream, for a receiver that has restarted
+    UPSTREAM_RECALL = 7
     # calls and their outcomes; CREDIT enlarges the send window of a response
     CALL = 10
     CALL_BODY = 11
--- a/balsamhead/mesh/_link_manager.py
+++ b/balsamhead/mesh/_link_manager.py
@@ -319,6 +319,7 @@
                 self.epoch += 1
             case FrameKind.UPSTREAM_NOTICE:
                 peer.record_notice(decode_header(frame, UpstreamNotice, peer=link.peer))
+                self.epoch += 1
             case _:
                 try:
                     self._handler.frame_received(peer, link, frame)
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -124,13 +124,15 @@
 
 
 class UpstreamNotice(NamedTuple):
-    """What one incarnation of an upstream says of itself in its responses."""
+    """What one incarnation of an upstream has said of itself."""
 
     upstream_id: str
     #: when the incarnation started, in ms since the epoch
     started_at_ms: int
     #: requests per s that it accepts from all nodes together; None for no limit
     limit_per_s: float | None
+    #: it is leaving and gets no more requests
+    leaving: bool
 
 
 class Load(NamedTuple):
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -395,9 +395,11 @@
         return self._run_call(call, body)
 
     def peer_linked(self, peer: Peer, link: Link) -> None:
-        """Send the peer the notice of this node's upstream."""
+        """Send the peer the notice of this node's upstream, and the last one of its own."""
         if self._announced_notice is not None:
             link.send(FrameKind.UPSTREAM_NOTICE, 0, self._announced_notice)
+        if peer.notice is not None:
+            link.send(FrameKind.UPSTREAM_RECALL, 0, peer.notice)
 
     def peer_state_received(self, peer: Peer, link: Link) -> None:
         """Request the operator's state if the peer's is newer; send the rollouts if they differ."""
@@ -422,6 +424,9 @@
             case FrameKind.EVIDENCE:
                 evidence = decode_header(frame, _EvidenceHeader, peer=link.peer)
                 self._rollouts.add_evidence(evidence.service, evidence.rows)
+            case FrameKind.UPSTREAM_RECALL:
+                notice = decode_header(frame, UpstreamNotice, peer=link.peer)
+                self._local_upstream.recall_notice(notice)
             case _:
                 raise MalformedMessageError(
                     f"unknown frame kind {frame.kind}", step="take-frame", peer=link.peer
--- a/balsamhead/mesh/_peers.py
+++ b/balsamhead/mesh/_peers.py
@@ -116,9 +116,24 @@
             self._in_flight_at_report[ended] = self._in_flight_at_report.get(ended, 0) - 1
 
     def record_notice(self, notice: UpstreamNotice) -> None:
-        """Record a notice of the peer's upstream, unless it is of an earlier incarnation."""
-        if self.notice is None or notice.started_at_ms >= self.notice.started_at_ms:
-            self.notice = notice
+        """Record a notice of the peer's upstream, unless it is of an earlier incarnation.
+
+        An incarnation that leaves never returns, even if its node has forgotten that it leaves.
+        """
+        known = self.notice
+        if known is not None and notice.started_at_ms < known.started_at_ms:
+            return
+        left = known is not None and known.leaving and known[:2] == notice[:2]
+        self.notice = notice._replace(leaving=notice.leaving or left)
+
+    def is_upstream_leaving(self) -> bool:
+        """Return whether the peer's announced upstream is known to leave."""
+        return (
+            self.notice is not None
+            and self.upstream is not None
+            and self.notice.leaving
+            and self.notice.upstream_id == self.upstream.id
+        )
 
     def get_limit(self) -> float | None:
         """Return the rate limit of the peer's upstream, in requests per s; None for none."""
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.mesh._calls import (
@@ -15,6 +16,7 @@
     ResponseNotices,
     UpstreamResponse,
 )
+from balsamhead.mesh._departures import Departures
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
 from balsamhead.mesh._upstream_connection import UpstreamConnection
@@ -94,7 +96,7 @@
         self._announced_at = 0.0
         self._slow_start_ends_at = 0.0
         self._unavailable_until = 0.0
-        self._deregistered: dict[tuple[str, int], int] = {}
+        self._departures = Departures()
         self._tasks: set[asyncio.Task[Outcome]] = set()
         self.record: UpstreamRecord | None = None
         self.service_ms = _DEFAULT_SERVICE_MS
@@ -112,16 +114,17 @@
         """
         current = self.record
         key = (record.id, record.started_at_ms)
-        if record.service != self._service or self._deregistered.get(key, -1) >= record.sequence:
+        if record.service != self._service or self._departures.is_outdated(record):
             return False
         if current is not None and (record.started_at_ms, record.sequence) <= (
             current.started_at_ms,
             current.sequence,
         ):
             return False
-        if key in self._deregistered:
-            # An instance that has deregistered stays out of service.
+        if self._departures.has_left(record):
             record = record._replace(state=UpstreamState.DRAINING)
+        elif record.state is UpstreamState.DRAINING:
+            self._departures.add(record)
         changed = current is None or (current.id, current.started_at_ms) != key
         if changed:
             self._close_idle_connections()
@@ -154,14 +157,31 @@
         """
         current = self.record
         if current is None or current.id != upstream_id:
+            # A node that has just started knows no upstream yet. An announcement may still arrive
+            # that was sent before this message.
+            self._departures.add_unannounced(upstream_id, time.time_ns() // 1_000_000)
+            logger.info("upstream-left", extra={"upstream": upstream_id, "announced": False})
             return False
-        self._deregistered[(current.id, current.started_at_ms)] = current.sequence
+        self._remove(current, extra={"announced": True})
+        return True
+
+    def recall_notice(self, notice: UpstreamNotice) -> None:
+        """Adopt a notice that a peer has kept from this node's previous run."""
+        if not notice.leaving:
+            return
+        self._departures.add_incarnation(notice.upstream_id, notice.started_at_ms)
+        current = self.record
+        if current is not None and self._departures.has_left(current):
+            self._remove(current, extra={"source": "peer"})
+
+    def _remove(self, current: UpstreamRecord, *, extra: dict[str, object]) -> None:
+        """Send the announced upstream no more requests."""
+        self._departures.add(current)
         if current.state is not UpstreamState.DRAINING:
             self.record = current._replace(state=UpstreamState.DRAINING)
-            logger.info("upstream-left", extra={"upstream": upstream_id})
+            logger.info("upstream-left", extra={"upstream": current.id, **extra})
             self._on_change()
         self._slots.deny_all("upstream-draining")
-        return True
 
     def accepts_requests(self) -> bool:
         """Return whether the upstream may be sent new requests."""
@@ -207,7 +227,8 @@
         record = self.record
         if record is None:
             return None
-        return UpstreamNotice(record.id, record.started_at_ms, self._slots.limit_per_s)
+        leaving = self._departures.has_left(record)
+        return UpstreamNotice(record.id, record.started_at_ms, self._slots.limit_per_s, leaving)
 
     def get_limit(self) -> float | None:
         """Return the rate limit that the upstream names, in requests per s; None for none."""
@@ -373,11 +394,8 @@
             )
             self._slots.set_limit(notices.limit_per_s)
             self._on_change()
-        if notices.leaving and record.state is not UpstreamState.DRAINING:
-            logger.info(
-                "upstream-leaving",
-                extra={"upstream": record.id, "request": call.request_id.decode("latin-1")},
-            )
+        if notices.leaving:
+            self._remove(self.record, extra={"request": call.request_id.decode("latin-1")})
 
     def _update_failure_rate(self, *, failed: bool) -> None:
         self._failure_rate += _FAILURE_WEIGHT * (failed - self._failure_rate)
--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -137,7 +137,9 @@
         self._groups_by_service = {}
         for peer in self._link_manager.table.peers.values():
             view = peer.upstream
-            if view is None or not view.accepts_requests or peer.stopping or peer.link is None:
+            if view is None or not view.accepts_requests or peer.is_upstream_leaving():
+                continue
+            if peer.stopping or peer.link is None:
                 continue
             versions = self._groups_by_service.setdefault(peer.record.service, {})
             group = versions.setdefault(view.version, _VersionGroup([], []))
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -15,6 +15,7 @@
         "_prior_attempts",
         "_budget",
         "_calls",
+        "_departures",
         "_fairness",
         "_metrics",
         "_model",
--- /dev/null
+++ b/tests/test_mesh/test_departures.py
@@ -0,0 +1,101 @@
+from __future__ import annotations
+
+import asyncio
+import time
+
+from tests.test_mesh.builders import (
+    NODE_1,
+    NODE_2,
+    NODE_3,
+    InMemoryCluster,
+    RequestSender,
+    run_virtual,
+)
+
+
+async def start_cluster() -> tuple[InMemoryCluster, RequestSender]:
+    cluster, send_request = InMemoryCluster(), RequestSender()
+    await cluster.start(NODE_1, NODE_2, NODE_3)
+    return cluster, send_request
+
+
+async def restart_node(cluster: InMemoryCluster, *, announcing: bool) -> None:
+    """Kill the node of the first upstream and start it again beside the same upstream."""
+    upstream = cluster.members[1].upstream
+    if not announcing:
+        assert upstream._announcing is not None
+        upstream._announcing.cancel()
+    cluster.kill(1)
+    await asyncio.sleep(1.0)
+    await cluster.add(NODE_1, upstream=upstream)
+    await asyncio.sleep(2.0)
+
+
+async def count_arrivals(cluster: InMemoryCluster, send_request: RequestSender) -> int:
+    """Send requests through the other nodes; return how many reached the first upstream."""
+    upstream = cluster.members[1].upstream
+    before = len(upstream.requests)
+    for _ in range(10):
+        responses = await asyncio.gather(*(send_request(cfg) for cfg in (NODE_2, NODE_3)))
+        assert [response.status for response in responses] == [200, 200]
+    return len(upstream.requests) - before
+
+
+# DRAIN: a node that had restarted acknowledged a departure, then took a late heartbeat for a start.
+def test_departure_acknowledged_before_any_heartbeat_is_remembered() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster()
+        upstream = cluster.members[1].upstream
+        await restart_node(cluster, announcing=False)
+        assert (await upstream.leave()).status == 200
+        upstream.sequence -= 1
+        await upstream.announce()
+        assert await count_arrivals(cluster, send_request) == 0
+
+    run_virtual(main)
+
+
+def test_upstream_that_starts_again_under_its_id_gets_requests() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster()
+        upstream = cluster.members[1].upstream
+        await restart_node(cluster, announcing=False)
+        await upstream.leave()
+        upstream.born, upstream.sequence = time.time_ns() // 1_000_000 + 1000, 0
+        await upstream.announce()
+        assert await count_arrivals(cluster, send_request) > 0
+
+    run_virtual(main)
+
+
+# DRAIN: a late heartbeat after the restart of its node made a draining upstream ready again.
+def test_peers_remember_that_an_upstream_leaves_when_its_node_restarts() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster()
+        upstream = cluster.members[1].upstream
+        upstream.state = "draining"
+        await upstream.announce()
+        await restart_node(cluster, announcing=False)
+        upstream.state = "ready"
+        upstream.sequence -= 1
+        await upstream.announce()
+        assert await count_arrivals(cluster, send_request) == 0
+        assert not cluster.members[1].node._local_upstream.accepts_requests()
+
+    run_virtual(main)
+
+
+# DRAIN: an upstream that said in its responses that it leaves went on getting requests.
+def test_upstream_that_says_in_a_response_that_it_leaves_gets_no_more_requests() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster()
+        upstream = cluster.members[1].upstream
+        upstream.extra_headers = b"Server-Leaving: 1\r\n"
+        while not upstream.requests:
+            await send_request(NODE_1)
+        await asyncio.sleep(0.1)
+        assert await count_arrivals(cluster, send_request) == 0
+        await restart_node(cluster, announcing=True)
+        assert await count_arrivals(cluster, send_request) == 0
+
+    run_virtual(main)
