Let peers recall the limit of an upstream to a node that restarts

What callers saw: nothing; an upstream with a low limit could get more than it named when the node beside it restarted: the new process knows no limit until the first response and fills all slots.

Cause: the same as of the departures: what an upstream said is kept in one process. Change: a node adopts the limit in the notice that a peer kept until the upstream has responded to it. A nearby upstream that must wait for its limit no longer counts as free, so that remote ones are considered.

The test failed before: 14 requests in 4 s where 11 are allowed (limit 1, 13 slots). Tried and not taken: drawing free upstreams from all instead of a sample.

--- a/balsamhead/mesh/_selection.py
+++ b/balsamhead/mesh/_selection.py
@@ -10,7 +10,7 @@
     import random
     from collections.abc import Iterable
 
-__all__ = ("Candidate", "Locality", "estimate_concurrency", "select_upstream")
+__all__ = ("Candidate", "Locality", "estimate_concurrency", "estimate_wait", "select_upstream")
 
 #: cost of transferring a kB between data centres, as an equivalent delay in ms
 _CROSS_DATA_CENTRE_MS_PER_KB: Final = 10.0
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -97,6 +97,10 @@
         self._slow_start_ends_at = 0.0
         self._unavailable_until = 0.0
         self._departures = Departures()
+        #: notice of an upstream here that a peer has kept from the previous run of this node
+        self._recalled: UpstreamNotice | None = None
+        #: this incarnation of the upstream has responded to this run of the node
+        self._heard_notices = False
         self._tasks: set[asyncio.Task[Outcome]] = set()
         self.record: UpstreamRecord | None = None
         self.service_ms = _DEFAULT_SERVICE_MS
@@ -132,6 +136,8 @@
             self._sample_count = 0
             self._failure_rate = 0.0
             self._slots.set_limit(None)
+            self._heard_notices = False
+            self._adopt_recalled_limit(record)
         now = self._loop.time()
         self.record = record
         self._announced_at = now
@@ -167,13 +173,26 @@
 
     def recall_notice(self, notice: UpstreamNotice) -> None:
         """Adopt a notice that a peer has kept from this node's previous run."""
-        if not notice.leaving:
-            return
-        self._departures.add_incarnation(notice.upstream_id, notice.started_at_ms)
+        if notice.leaving:
+            self._departures.add_incarnation(notice.upstream_id, notice.started_at_ms)
+        self._recalled = notice
         current = self.record
-        if current is not None and self._departures.has_left(current):
+        if current is None:
+            return
+        self._adopt_recalled_limit(current)
+        if self._departures.has_left(current):
             self._remove(current, extra={"source": "peer"})
 
+    def _adopt_recalled_limit(self, record: UpstreamRecord) -> None:
+        """Use the limit that a peer has kept until the upstream's first response."""
+        recalled = self._recalled
+        if (
+            recalled is not None
+            and not self._heard_notices
+            and (recalled.upstream_id, recalled.started_at_ms) == (record.id, record.started_at_ms)
+        ):
+            self._slots.set_limit(recalled.limit_per_s)
+
     def _remove(self, current: UpstreamRecord, *, extra: dict[str, object]) -> None:
         """Send the announced upstream no more requests."""
         self._departures.add(current)
@@ -381,6 +400,7 @@
         if self.record is None or self.record.started_at_ms != record.started_at_ms:
             # the response is of an earlier incarnation
             return
+        self._heard_notices = True
         if notices.limit_per_s != self._slots.limit_per_s:
             logger.info(
                 "upstream-limit-changed",
--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final, NamedTuple
 
-from balsamhead.mesh._selection import Candidate, Locality, estimate_concurrency
+from balsamhead.mesh._selection import Candidate, Locality, estimate_concurrency, estimate_wait
 
 if TYPE_CHECKING:
     import random
@@ -116,7 +116,7 @@
             self._nearby_seen_at[service] = now
         if prefer_nearby and now - self._nearby_seen_at.setdefault(service, now) < _NEARBY_ONLY_S:
             return candidates
-        if not any(candidate.requests_ahead + 1 <= candidate.slots for candidate in candidates):
+        if all(estimate_wait(candidate) > 0.0 for candidate in candidates):
             eligible_remote = [peer for peer in remote if self._is_eligible(peer, excluded, now)]
             candidates += [
                 self._make_candidate(peer, priority, now)
--- a/tests/test_mesh/test_upstream_limits.py
+++ b/tests/test_mesh/test_upstream_limits.py
@@ -4,10 +4,12 @@
 from collections import Counter
 from collections.abc import Sequence
 
+from standin.virtual_network import CURRENT_HOST
 from tests.test_mesh.builders import (
     NODE_1,
     NODE_2,
     NODE_3,
+    FakeUpstream,
     InMemoryCluster,
     RequestSender,
     Response,
@@ -116,3 +118,33 @@
         assert all(b"retry-after" in response.headers for response in refused_checks)
 
     run_virtual(main)
+
+
+# LIMIT: a node that restarted had forgotten the limit, and filled all slots before it heard of it.
+def test_limit_holds_across_a_restart_of_the_node() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(NODE_2, NODE_3)
+        limited = FakeUpstream(NODE_1, slots=13)
+        limited.service_time_s = 0.3
+        limited.extra_headers = b"Server-Limit: 1\r\n"
+        await limited.start()
+        await cluster.add(NODE_1, upstream=limited)
+        loop = asyncio.get_running_loop()
+        since = loop.time() + NOTICE_S
+
+        async def restart() -> None:
+            await asyncio.sleep(5.0)
+            cluster.kill(1)
+            await asyncio.sleep(1.0)
+            await cluster.add(NODE_1, upstream=limited)
+
+        # callers are on another host than the node that is killed
+        CURRENT_HOST.set("10.8.0.1")
+        restarting = asyncio.ensure_future(restart())
+        await send_steadily(send_request, 80, 12.0, NODE_3, NODE_2)
+        await restarting
+        assert limited.arrival_times[-1] > loop.time() - 2.0
+        assert count_most_in_window(limited.arrival_times, since=since) <= get_allowed(1)
+
+    run_virtual(main)
