--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -6,24 +6,23 @@
 import logging
 import random
 import time
-from typing import TYPE_CHECKING, Final, NamedTuple
+from typing import TYPE_CHECKING, Final
 
 from balsamhead.errors import LogError, MalformedMessageError
 from balsamhead.mesh._budget import RetryBudget
-from balsamhead.mesh._evidence import CallCounter, EvidenceRow
-from balsamhead.mesh._frames import Frame, FrameKind, decode_header, encode_frame
+from balsamhead.mesh._frames import Frame, FrameKind, decode_header
 from balsamhead.mesh._link_manager import LinkManager, PeerEventHandler
 from balsamhead.mesh._metrics import MeshMetrics
-from balsamhead.mesh._peers import Heartbeat, Hello, Peer, UpstreamView, rank_nodes
+from balsamhead.mesh._peers import Heartbeat, Hello, Peer, UpstreamView
 from balsamhead.mesh._request_router import RequestRouter
-from balsamhead.mesh._rollouts import RolloutController, UpstreamSummary
+from balsamhead.mesh._rollout_exchange import RolloutExchange
 from balsamhead.mesh._server import HttpServer, Reply, Request
 from balsamhead.mesh._settings import MeshSettings
 from balsamhead.mesh._sync import STORE_RETRY_DELAY_S, OperatorSync
 from balsamhead.mesh._traffic_split import TrafficSplit
 from balsamhead.mesh._upstream import LocalUpstream
 from balsamhead.mesh._upstream_index import UpstreamIndex
-from balsamhead.mesh.model import Limits, NodeRecord, OperatorState, Phase, Rollout, UpstreamNotice
+from balsamhead.mesh.model import Limits, NodeRecord, OperatorState, UpstreamNotice
 from balsamhead.platform.headers import DROPPED_REQUEST_HEADERS
 from balsamhead.platform.messages import (
     decode_heartbeat,
@@ -70,16 +69,6 @@
 _DEFAULT_LIMITS: Final = Limits(16_384, 64 << 20, 10.0, 60.0)
 
 
-class _RolloutHeader(NamedTuple):
-    rollout: Rollout
-    elapsed_s: float
-
-
-class _EvidenceHeader(NamedTuple):
-    service: str
-    rows: list[EvidenceRow]
-
-
 class MeshNode(PeerEventHandler):
     """Own the components of a node and pass events between them."""
 
@@ -105,14 +94,13 @@
             service=cfg.service,
         )
         self._traffic_split = TrafficSplit()
-        self._outcome_counts = CallCounter()
         self._metrics = MeshMetrics()
         self._local_upstream = LocalUpstream(
             address=cfg.upstream_address,
             service=cfg.service,
             announce_interval_s=cfg.announce_interval,
             on_change=self._upstream_changed,
-            on_result=self._outcome_counts.add,
+            on_result=lambda result: self._rollouts.add_result(result),
             metrics=self._metrics,
         )
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
@@ -131,8 +119,15 @@
             metrics=self._metrics,
             rng=rng,
         )
-        self._rollouts = RolloutController(
-            self._traffic_split, records, publish=self._publish_rollout
+        self._rollouts = RolloutExchange(
+            self._own_record,
+            records,
+            link_manager=self._link_manager,
+            traffic_split=self._traffic_split,
+            get_own_upstream=lambda: (
+                self._describe_upstream(),
+                self._local_upstream.get_load(),
+            ),
         )
         self._sync = OperatorSync(
             cfg.node,
@@ -190,6 +185,7 @@
             logger.info("stop-begun", extra={"running": self._local_upstream.running})
             self._stopping = True
             self._local_upstream.stopping = True
+            self._rollouts.stopping = True
             self._caller_server.closing = True
             self._upstream_changed()
             self._stopped.set()
@@ -252,76 +248,7 @@
     def _apply_state(self, state: OperatorState) -> None:
         if state.config is not None:
             self._caller_side.set_config(state.config)
-        for order in state.orders.values():
-            self._rollouts.record_order(order)
-
-    # -- rollouts --------------------------------------------------------------------------
-
-    def _publish_rollout(self, rollout: Rollout) -> None:
-        if self._traffic_split.apply_state(rollout):
-            self._link_manager.broadcast(self._encode_rollout(rollout))
-
-    def _encode_rollout(self, rollout: Rollout) -> bytes:
-        elapsed_s = self._rollouts.get_elapsed(rollout.service)
-        return encode_frame(FrameKind.ROLLOUT, 0, _RolloutHeader(rollout, elapsed_s))
-
-    def _handle_rollout(self, header: _RolloutHeader) -> None:
-        if self._traffic_split.apply_state(header.rollout):
-            rollout = header.rollout
-            self._rollouts.record_elapsed(rollout, header.elapsed_s)
-            logger.info(
-                "rollout-heard",
-                extra={
-                    "service": rollout.service,
-                    "version": rollout.version,
-                    "phase": rollout.phase.value,
-                    "share": rollout.share,
-                },
-            )
-
-    def _find_coordinator(self, service: str) -> str:
-        names = [peer.record.name for peer in self._link_manager.list_live() if not peer.stopping]
-        if not self._stopping:
-            names.append(self._own_record.name)
-        ranked = rank_nodes(names, f"rollout/{service}")
-        return ranked[0] if ranked else ""
-
-    def _report_evidence(self) -> None:
-        rows = self._outcome_counts.drain()
-        rollout = self._traffic_split.rollouts.get(self._cfg.service)
-        if not rows or rollout is None or rollout.phase is not Phase.RUNNING:
-            return
-        coordinator = self._find_coordinator(rollout.service)
-        if coordinator == self._own_record.name:
-            self._rollouts.add_evidence(rollout.service, rows)
-            return
-        peer = self._link_manager.table.peers.get(coordinator)
-        link = self._link_manager.get_link(peer) if peer is not None else None
-        if link is not None:
-            link.send(FrameKind.EVIDENCE, 0, _EvidenceHeader(rollout.service, rows))
-
-    def _advance_rollouts(self) -> None:
-        for order in self._sync.state.orders.values():
-            if self._find_coordinator(order.service) == self._own_record.name:
-                self._rollouts.advance(order, self._observe_rollout(order.service, order.version))
-
-    def _observe_rollout(self, service: str, version: str) -> UpstreamSummary:
-        new_ready = old_busy = 0
-        own_view = self._describe_upstream()
-        rows = [(own_view, self._local_upstream.get_load())] if self._cfg.service == service else []
-        for peer in self._link_manager.table.peers.values():
-            if peer.record.service == service and self._link_manager.get_link(peer) is not None:
-                rows.append((peer.upstream, peer.load))
-        for upstream_view, load in rows:
-            if upstream_view is None:
-                continue
-            if upstream_view.version == version:
-                new_ready += upstream_view.accepts_requests
-            else:
-                old_busy += load.running + load.waiting
-        checksum = self._traffic_split.checksum
-        in_force = all(peer.rollout_checksum == checksum for peer in self._link_manager.list_live())
-        return UpstreamSummary(new_ready, old_busy, in_force)
+        self._rollouts.record_orders(state.orders.values())
 
     # -- ticks -----------------------------------------------------------------------------
 
@@ -332,8 +259,8 @@
         self._budget.node_count = len(live) + 1
         if self._describe_upstream() != self._announced_upstream:
             self._upstream_changed()
-        self._report_evidence()
-        self._advance_rollouts()
+        self._rollouts.report_evidence()
+        self._rollouts.advance(self._sync.state.orders.values())
         if self._loop.time() >= self._slot_usage_due_at:
             self._slot_usage_due_at = self._loop.time() + _SLOT_USAGE_INTERVAL_S
             self._local_upstream.log_slot_usage()
@@ -406,8 +333,7 @@
         if peer.offset > self._sync.offset:
             self._sync.request_delta(link)
         if peer.rollout_checksum != self._traffic_split.checksum:
-            for rollout in self._traffic_split.rollouts.values():
-                link.send_encoded(self._encode_rollout(rollout))
+            self._rollouts.send_states(link)
 
     def frame_received(self, peer: Peer, link: Link, frame: Frame) -> None:
         """Handle a frame about the configuration or a rollout.
@@ -420,10 +346,9 @@
             case FrameKind.CONFIG_PULL:
                 self._sync.send_delta(link, decode_header(frame, tuple[int], peer=link.peer)[0])
             case FrameKind.ROLLOUT:
-                self._handle_rollout(decode_header(frame, _RolloutHeader, peer=link.peer))
+                self._rollouts.handle_state(frame, link)
             case FrameKind.EVIDENCE:
-                evidence = decode_header(frame, _EvidenceHeader, peer=link.peer)
-                self._rollouts.add_evidence(evidence.service, evidence.rows)
+                self._rollouts.handle_evidence(frame, link)
             case FrameKind.UPSTREAM_RECALL:
                 notice = decode_header(frame, UpstreamNotice, peer=link.peer)
                 self._local_upstream.recall_notice(notice)
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -39,7 +39,7 @@
     ("_peers", "_upstream"),
     ("_link_manager", "_evidence"),
     ("_upstream_index", "_rollouts", "_sync"),
-    ("_request_router",),
+    ("_request_router", "_rollout_exchange"),
     ("_node",),
     ("_daemon",),
     ("node",),
--- a/tests/test_mesh/test_rollouts.py
+++ b/tests/test_mesh/test_rollouts.py
@@ -153,7 +153,7 @@
         fleet, ask = InMemoryCluster(), RequestSender()
         await start_rollout(fleet)
         await send_load(ask, 3.0, [])
-        coordinator = fleet.members[1].node._find_coordinator("desk")
+        coordinator = fleet.members[1].node._rollouts._find_coordinator("desk")
         number = int(coordinator.split("-")[1])
         if number != 3:
             fleet.kill(number)
--- a/tests/test_wire/test_encodings.py
+++ b/tests/test_wire/test_encodings.py
@@ -21,7 +21,7 @@
 from balsamhead.fold import _record, _state
 from balsamhead.link import _handshake
 from balsamhead.log import _model as log_rows
-from balsamhead.mesh import _frames, _link, _node, _peers, _settings, _state_history
+from balsamhead.mesh import _frames, _link, _peers, _rollout_exchange, _settings, _state_history
 from balsamhead.mesh import model as mesh_rows
 from balsamhead.operator import _protocol
 from balsamhead.platform import messages as platform_messages
@@ -109,8 +109,8 @@
     "frame/credit": (_frames.FrameKind.CREDIT, None),
     "frame/config": (_frames.FrameKind.CONFIG, None),
     "frame/config-pull": (_frames.FrameKind.CONFIG_PULL, tuple[int]),
-    "frame/rollout": (_frames.FrameKind.ROLLOUT, _node._RolloutHeader),
-    "frame/evidence": (_frames.FrameKind.EVIDENCE, _node._EvidenceHeader),
+    "frame/rollout": (_frames.FrameKind.ROLLOUT, _rollout_exchange._RolloutHeader),
+    "frame/evidence": (_frames.FrameKind.EVIDENCE, _rollout_exchange._EvidenceHeader),
 }
 
 #: types whose field names are keys of documents or settings, or are shown to operators
