Log the store's era, and the state of the store that a reader does not take

The client of the store reads the era of each response and logs when it rises; a reader logs the end of the store and its own offset when it ignores what it has read. Nothing is decided by them yet.

--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -68,6 +68,10 @@
     async def _read_newest_state(self, known: OperatorState) -> OperatorState:
         newest = await self._store.read_newest(_OPERATOR_TOPIC)
         if newest.end < known.offset:
+            logger.info(
+                "store-state-ignored",
+                extra={"era": newest.era, "end": newest.end, "known_offset": known.offset},
+            )
             return known
         return _apply_records(known, newest.records)._replace(offset=max(known.offset, newest.end))
 
--- a/balsamhead/platform/store.py
+++ b/balsamhead/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import logging
 import struct
 from typing import TYPE_CHECKING, Final, NamedTuple, TypeVar
 from urllib.parse import urlencode
@@ -22,6 +23,7 @@
     BodyDecoder,
     FramingError,
     ResponseHead,
+    parse_integer_header,
     parse_response_head,
 )
 
@@ -30,6 +32,8 @@
 
 __all__ = ("Batch", "KeyedRecord", "NewestRecords", "StoreClient")
 
+logger = logging.getLogger(__name__)
+
 #: timeout for opening a connection to the store, in s
 _CONNECT_TIMEOUT_S: Final = 0.8
 #: timeout for a response, in s; the waiting time of a long poll is added to it
@@ -60,6 +64,8 @@
     records: tuple[KeyedRecord, ...]
     #: offset of the next record that will be appended to the partition
     end: int
+    #: era of the store that responded
+    era: int
 
 
 class NewestRecords(NamedTuple):
@@ -68,10 +74,14 @@
     records: tuple[KeyedRecord, ...]
     #: offset from which to read the records that follow
     end: int
+    #: era of the store that responded
+    era: int
 
 
 class _Response(NamedTuple):
     status: int
+    #: number of times that the store was restored from an older copy; 0 if it doesn't say
+    era: int
     body: bytes
 
 
@@ -109,6 +119,8 @@
         self._address = address
         #: number of requests sent, by path
         self.calls: dict[str, int] = {}
+        #: highest era of the store in a response
+        self.era = 0
 
     async def append_keyed(
         self, topic: str, key: str, value: bytes, *, expected_end: int | None = None
@@ -154,7 +166,7 @@
             )
         if response.status != 200:
             raise self._make_unavailable_error("read-records", f"status {response.status}")
-        return self._decode_batch(response.body, start)
+        return self._decode_batch(response, start)
 
     async def read_newest(self, topic: str) -> NewestRecords:
         """Return the newest record of each key of a topic.
@@ -174,7 +186,7 @@
             # page covers all records that were appended while the others were read.
             end = page.end if end is None else end
             if not page.has_more or not page.items:
-                return NewestRecords(tuple(records), end)
+                return NewestRecords(tuple(records), end, response.era)
             query["after"] = page.items[-1].key
 
     def _decode_item(self, item: _Item) -> KeyedRecord:
@@ -183,7 +195,8 @@
         except ValueError as exc:
             raise self._make_unavailable_error("read-newest", exc) from exc
 
-    def _decode_batch(self, body: bytes, start: int) -> Batch:
+    def _decode_batch(self, response: _Response, start: int) -> Batch:
+        body = response.body
         if len(body) < _PARTITION_BOUNDS.size:
             raise self._make_unavailable_error("read-records", "response too short")
         end, _first = _PARTITION_BOUNDS.unpack_from(body)
@@ -199,7 +212,7 @@
             records.append(KeyedRecord(offset, key, payload[key_end:]))
             position += _RECORD_LENGTH.size + size
             offset += 1
-        return Batch(tuple(records), end)
+        return Batch(tuple(records), end, response.era)
 
     def _decode_json(self, body: bytes, response_type: type[T], step: str) -> T:
         try:
@@ -242,6 +255,9 @@
             raise self._make_unavailable_error(step, exc) from exc
         finally:
             writer.transport.abort()
+        if response.era > self.era:
+            logger.info("store-era", extra={"era": response.era, "previous": self.era})
+            self.era = response.era
         return response
 
     def _make_unavailable_error(self, step: str, cause: object) -> LogUnavailableError:
@@ -266,7 +282,14 @@
         size += len(chunk)
         if size > _MAX_BODY_BYTES:
             raise FramingError("answer-too-large")
-    return _Response(head.status, b"".join(chunks))
+    return _Response(head.status, _parse_era(head), b"".join(chunks))
+
+
+def _parse_era(head: ResponseHead) -> int:
+    try:
+        return parse_integer_header(head.headers, b"store-era") or 0
+    except FramingError:
+        return 0
 
 
 async def _read_response_head(reader: asyncio.StreamReader, method: str) -> ResponseHead:
