Order what is read from the store by era, and write again what a restoration lost

Cause: offsets of two histories were compared. Class of fault: a number that grows only within one life of its source is taken for one that grows for good. The same cause elsewhere: the position of an order names a rollout, and the records that nodes and coordinators write to the store were written once.

Change: a position holds the era of the store before the offset, so that all comparisons stay as they are. A higher era is adopted from the newest records; a higher version is kept until the operator's records are written again, and such a state goes before one read from the store alone, so that a node that starts meanwhile gets it from peers. An order that is recorded again keeps its rollout, evidence and withdrawal, and its state is written again. Nodes register again. The first read after a failure or as a new reader does not wait, since only a response shows the era.

--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -31,6 +31,7 @@
 )
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
+from balsamhead.util.positions import get_era, get_offset
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Coroutine
@@ -46,6 +47,8 @@
 _TICK_INTERVAL_S: Final = 0.2
 #: interval at which the use of the upstream's slots is logged, in s
 _SLOT_USAGE_INTERVAL_S: Final = 1.0
+#: time over which nodes register again after the store was restored, in s
+_REGISTRATION_SPREAD_S: Final = 1.0
 #: longest time that readiness waits for links to the known nodes, in s
 _READY_LINK_TIMEOUT_S: Final = 0.8
 #: shortest time that a stopping node keeps its caller port open, in s
@@ -85,6 +88,7 @@
         self._store = store
         self._loop = asyncio.get_running_loop()
         rng = rng or random.Random(f"{cfg.node}/{time.time_ns()}")
+        self._rng = rng
         self._own_record = NodeRecord(
             name=cfg.node,
             incarnation=time.time_ns() // 1_000_000,
@@ -152,6 +156,8 @@
         self._announced_upstream: UpstreamView | None = None
         self._announced_notice: UpstreamNotice | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        #: era of the store in which this node is registered; -1 while it is being registered
+        self._registered_era = -1
         self._was_ready = False
         self._slot_usage_due_at = 0.0
         self._timers: list[asyncio.TimerHandle] = []
@@ -229,25 +235,39 @@
         self._caller_server.stop_listening()
 
     async def _register_node(self) -> None:
-        registered = False
+        """Write this node's record, then read those of all nodes.
+
+        Of two nodes that register at the same time, the later one thus reads the other's record.
+        """
+        written_era = -1
         while True:
             try:
-                if not registered:
+                if written_era < self._store.era:
                     await self._records.write_node(self._own_record)
-                    registered = True
+                    written_era = self._store.era
                 nodes = await self._records.read_nodes()
-                break
+                if written_era == self._store.era:
+                    break
             except LogError as exc:
                 self._sync.record_store_result(exc)
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
         for record in nodes:
             self._link_manager.add_node(record)
         self._links_deadline = self._loop.time() + _READY_LINK_TIMEOUT_S
-        logger.info("nodes-loaded", extra={"nodes": len(nodes)})
+        self._registered_era = written_era
+        logger.info("nodes-loaded", extra={"nodes": len(nodes), "era": written_era})
+
+    async def _register_again(self) -> None:
+        """Register in a later era of the store, which may have lost the record of this node."""
+        await asyncio.sleep(self._rng.uniform(0.0, _REGISTRATION_SPREAD_S))
+        await self._register_node()
 
     def _apply_state(self, state: OperatorState) -> None:
         if state.config is not None:
             self._caller_side.set_config(state.config)
+        if -1 < self._registered_era < get_era(state.offset):
+            self._registered_era = -1
+            self._spawn(self._register_again())
         self._rollouts.record_orders(state.orders.values())
 
     # -- ticks -----------------------------------------------------------------------------
@@ -400,7 +420,8 @@
 
     def _register_gauges(self) -> None:
         register_gauge = self._metrics.register_gauge
-        register_gauge("config_offset", lambda: {"": self._sync.offset})
+        register_gauge("config_offset", lambda: {"": get_offset(self._sync.offset)})
+        register_gauge("store_era", lambda: {"": self._store.era})
         register_gauge("requests_running", lambda: {"": self._local_upstream.running})
         register_gauge("requests_waiting", lambda: {"": self._local_upstream.get_load().waiting})
         register_gauge("links_live", lambda: {"": len(self._link_manager.list_live())})
--- a/balsamhead/mesh/_rollout_exchange.py
+++ b/balsamhead/mesh/_rollout_exchange.py
@@ -63,8 +63,11 @@
         self._outcome_counts.add(result)
 
     def record_orders(self, orders: Iterable[Order]) -> None:
-        """Record when orders were first received."""
+        """Record when orders were first received, and which were recorded again."""
         for order in orders:
+            previous = self._traffic_split.renumber(order)
+            if previous is not None:
+                self._controller.renumber_order(order, previous)
             self._controller.record_order(order)
 
     def report_evidence(self) -> None:
--- a/balsamhead/mesh/_rollouts.py
+++ b/balsamhead/mesh/_rollouts.py
@@ -75,6 +75,8 @@
         self._last_step_at: dict[str, float] = {}
         self._calls_at_last_step: dict[str, int] = {}
         self._writing_ends: set[str] = set()
+        #: services whose rollout has to be written again
+        self._rewrites_due: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def record_order(self, order: Order) -> None:
@@ -83,6 +85,21 @@
         if known is None or known[0] < order.offset:
             self._started[order.service] = (order.offset, self._loop.time())
 
+    def renumber_order(self, order: Order, previous: int) -> None:
+        """Continue a rollout whose order was recorded again after the store was restored.
+
+        Its state has to be written again, too, since the restoration may have lost it.
+
+        :param previous: previous position of the order.
+        """
+        started = self._started.get(order.service)
+        if started is not None and started[0] == previous:
+            self._started[order.service] = (order.offset, started[1])
+        comparison = self._comparisons.get(order.service)
+        if comparison is not None and comparison[0] == previous:
+            self._comparisons[order.service] = (order.offset, comparison[1])
+        self._rewrites_due.add(order.service)
+
     def record_elapsed(self, rollout: Rollout, elapsed_s: float) -> None:
         """Adopt the start time of a rollout from a peer if it is earlier or the order is newer."""
         started_at = self._loop.time() - elapsed_s
@@ -110,6 +127,9 @@
         if rollout is None or rollout.order < order.offset:
             self._start(order)
             return
+        if order.service in self._rewrites_due:
+            self._rewrites_due.discard(order.service)
+            self._write_again(rollout)
         if rollout.phase is not Phase.RUNNING:
             return
         comparison = self._get_comparison(rollout)
@@ -140,6 +160,20 @@
         self._publish(rollout)
         self._spawn(self._write(rollout, final=False))
 
+    def _write_again(self, rollout: Rollout) -> None:
+        logger.info(
+            "rollout-rewritten",
+            extra={
+                "service": rollout.service,
+                "version": rollout.version,
+                "phase": rollout.phase.value,
+            },
+        )
+        if rollout.phase is Phase.RUNNING:
+            self._spawn(self._write(rollout, final=False))
+        else:
+            self._write_end(rollout)
+
     def _raise_share(self, order: Order, rollout: Rollout, comparison: VersionComparison) -> None:
         elapsed_fraction = self.get_elapsed(order.service) / max(0.1, order.duration_s)
         due_step = max(
--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -11,6 +11,7 @@
 from balsamhead.mesh._peers import Peer, rank_nodes
 from balsamhead.mesh._state_history import StateHistory, decode_delta, encode_delta
 from balsamhead.mesh.model import OperatorState, Phase
+from balsamhead.util.positions import get_era, get_offset
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -94,27 +95,33 @@
 
     async def run(self) -> None:
         """Read the state until one is known; after that, read whenever this node is a reader."""
+        in_contact = False
         while True:
             if self.offset >= 0 and not self.is_reader():
+                in_contact = False
                 await asyncio.sleep(_READER_CHECK_INTERVAL_S)
                 continue
             started_at, offset = self._loop.time(), self.offset
             try:
-                state = await self._read()
+                # Only a response shows whether the store has been restored, so the first one must
+                # not wait for a new record.
+                state = await self._read(_LONG_POLL_S if in_contact else 0.0)
             except BalsamheadError as exc:
+                in_contact = False
                 self.record_store_result(exc)
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
                 continue
             self.record_store_result(None)
+            first_read, in_contact = not in_contact, True
             if state.config is not None:
                 self._add_state(state)
             returned_early = self._loop.time() - started_at < _LONG_POLL_S / 2
-            if state.config is None or (state.offset <= offset and returned_early):
+            unchanged = state.offset <= offset and returned_early and not first_read
+            if state.config is None or unchanged:
                 # a store with stale records responds at once; don't poll it in a busy loop
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
 
-    async def _read(self) -> OperatorState:
-        wait_s = _LONG_POLL_S if self.offset >= 0 else 0.0
+    async def _read(self, wait_s: float) -> OperatorState:
         state = await self._records.read_operator_state(self.state, wait_s=wait_s)
         if state.orders and not self._traffic_split.rollouts:
             for rollout in await self._records.read_rollouts():
@@ -140,7 +147,8 @@
                 "config-in-force",
                 extra={
                     "version": state.config.version,
-                    "offset": state.offset,
+                    "era": get_era(state.offset),
+                    "offset": get_offset(state.offset),
                     "source": source,
                 },
             )
--- a/balsamhead/mesh/_traffic_split.py
+++ b/balsamhead/mesh/_traffic_split.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING
 
 from balsamhead.mesh.model import Phase, Rollout
+from balsamhead.util.positions import get_generation
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
 
+    from balsamhead.mesh.model import Order
+
 __all__ = ("TrafficSplit",)
 
 _ENDED_PHASES = (Phase.COMPLETED, Phase.ROLLED_BACK)
@@ -41,6 +44,10 @@
         :returns: whether the state was applied.
         """
         current = self.rollouts.get(rollout.service)
+        if current is not None and _is_same_rollout(current, rollout):
+            order = max(current.order, rollout.order)
+            current = self._set_order(current, order)
+            rollout = rollout._replace(order=order)
         if current is not None and _get_precedence(current) >= _get_precedence(rollout):
             return False
         if current is not None and current.order < rollout.order and current.phase is Phase.RUNNING:
@@ -51,6 +58,29 @@
         self.rollouts[rollout.service] = rollout
         return True
 
+    def renumber(self, order: Order) -> int | None:
+        """Adopt the position of an order that was recorded again after the store was restored.
+
+        :returns: the previous position of the order; None if nothing changed.
+        """
+        current = self.rollouts.get(order.service)
+        if (
+            current is None
+            or current.version != order.version
+            or get_generation(current.order) >= get_generation(order.offset)
+        ):
+            return None
+        self._set_order(current, order.offset)
+        return current.order
+
+    def _set_order(self, current: Rollout, order: int) -> Rollout:
+        if current.order == order:
+            return current
+        rollout = self.rollouts[current.service] = current._replace(order=order)
+        if rollout.phase is Phase.ROLLED_BACK:
+            self._withdraw(rollout)
+        return rollout
+
     def _withdraw(self, rollout: Rollout) -> None:
         versions = self._withdrawn.setdefault(rollout.service, {})
         versions[rollout.version] = max(rollout.order, versions.get(rollout.version, -1))
@@ -96,6 +126,11 @@
         return new if takes_new else old
 
 
+def _is_same_rollout(one: Rollout, other: Rollout) -> bool:
+    """Return whether two states are of one order that was recorded in different generations."""
+    return one.version == other.version and get_generation(one.order) != get_generation(other.order)
+
+
 def _get_precedence(rollout: Rollout) -> tuple[int, int, int]:
     phase_rank = {Phase.ROLLED_BACK: 2, Phase.COMPLETED: 1}.get(rollout.phase, 0)
     return (rollout.order, phase_rank, rollout.step)
--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -21,6 +21,7 @@
     decode_rollout_status,
     encode_rollout_status,
 )
+from balsamhead.util.positions import get_era, get_offset, make_position
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -56,24 +57,44 @@
         """
         if known.offset < 0:
             return await self._read_newest_state(known)
+        start = get_offset(known.offset)
         try:
-            batch = await self._store.read(_OPERATOR_TOPIC, known.offset, wait_s=wait_s)
+            batch = await self._store.read(_OPERATOR_TOPIC, start, wait_s=wait_s)
         except LogExpiredError:
             return await self._read_newest_state(known)
+        if batch.era != get_era(known.offset):
+            # the offsets of another era say nothing about the known state
+            return await self._read_newest_state(known)
         if not batch.records:
             return known
-        offset = batch.records[-1].offset + 1
-        return _apply_records(known, batch.records)._replace(offset=offset)
+        return _apply_records(
+            known, batch.records, known.offset - start + batch.records[-1].offset + 1
+        )
 
     async def _read_newest_state(self, known: OperatorState) -> OperatorState:
         newest = await self._store.read_newest(_OPERATOR_TOPIC)
-        if newest.end < known.offset:
+        known_era = get_era(known.offset)
+        if newest.era == known_era:
+            position = known.offset - get_offset(known.offset) + newest.end
+        else:
+            position = make_position(newest.era, newest.end, carried=known.offset >= 0)
+        if position < known.offset:
             logger.info(
                 "store-state-ignored",
                 extra={"era": newest.era, "end": newest.end, "known_offset": known.offset},
             )
             return known
-        return _apply_records(known, newest.records)._replace(offset=max(known.offset, newest.end))
+        if known_era not in (-1, newest.era):
+            logger.warning(
+                "store-restored",
+                extra={
+                    "era": newest.era,
+                    "end": newest.end,
+                    "previous_era": known_era,
+                    "previous_offset": get_offset(known.offset),
+                },
+            )
+        return _apply_records(known, _omit_superseded(known, newest.records), position)
 
     async def write_node(self, record: NodeRecord) -> None:
         """Write a node's record.
@@ -142,8 +163,30 @@
         return None
 
 
-def _apply_records(known: OperatorState, records: Iterable[KeyedRecord]) -> OperatorState:
-    """Apply the operator's records to a state by offset, skipping malformed ones."""
+def _omit_superseded(known: OperatorState, records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
+    """Omit orders that precede the known order of their service.
+
+    A store that was restored holds the orders of an earlier time until the lost ones are written
+    again.
+    """
+    services = {ROLLOUT_KEY_PREFIX + service: order for service, order in known.orders.items()}
+    rows = []
+    for record in records:
+        order = services.get(record.key)
+        superseded = order is not None and record.offset < get_offset(order.offset)
+        if not superseded:
+            rows.append(record)
+    return rows
+
+
+def _apply_records(
+    known: OperatorState, records: Iterable[KeyedRecord], position: int
+) -> OperatorState:
+    """Apply the operator's records to a state by offset, skipping malformed ones.
+
+    :param position: position after the last record.
+    """
+    base = position - get_offset(position)
     config, orders = known.config, dict(known.orders)
     newest = None
     for record in sorted(records, key=lambda record: record.offset):
@@ -153,7 +196,7 @@
             if record.key == CONFIG_KEY:
                 newest = decode_config(record.value)
             elif record.key.startswith(ROLLOUT_KEY_PREFIX):
-                order: Order = decode_order(record.value, offset=record.offset)
+                order: Order = decode_order(record.value, offset=base + record.offset)
                 if order.offset > orders.get(order.service, order._replace(offset=-1)).offset:
                     orders[order.service] = order
         except MalformedMessageError as exc:
@@ -162,4 +205,4 @@
             )
     if newest is not None and (config is None or newest.version >= config.version):
         config = newest
-    return OperatorState(known.offset, config, orders)
+    return OperatorState(position, config, orders)
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import struct
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
@@ -69,12 +70,18 @@
         self.records.append(record)
 
 
+#: topics by name
+StoreCopy = dict[str, _Partition]
+
+
 class PlatformStore:
     """Serve topics of keyed records over HTTP."""
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.calls: list[str] = []
+        #: number of restorations
+        self.era = 0
         self._topics: dict[str, _Partition] = {}
         self._changed = asyncio.Event()
         self._server = HttpServer(self._handle, get_limits=lambda: _LIMITS)
@@ -106,6 +113,16 @@
         partition.first = partition.end
         partition.records.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all topics."""
+        return copy.deepcopy(self._topics)
+
+    def restore(self, topics: StoreCopy) -> None:
+        """Replace all topics by an earlier copy and begin a new era."""
+        self._topics = copy.deepcopy(topics)
+        self.era += 1
+        self._notify_readers()
+
     def _get_partition(self, topic: str) -> _Partition:
         return self._topics.setdefault(topic, _Partition())
 
@@ -114,6 +131,10 @@
         self._changed = asyncio.Event()
 
     async def _handle(self, request: Request) -> Reply:
+        reply = await self._process(request)
+        return reply._replace(headers=reply.headers + b"Store-Era: %d\r\n" % self.era)
+
+    async def _process(self, request: Request) -> Reply:
         path = request.head.path
         self.calls.append(path)
         faults = self.faults
@@ -153,17 +174,19 @@
         return _make_json_reply(200, {"offset": offset, "end": partition.end})
 
     async def _handle_read(self, query: dict[str, str]) -> Reply:
-        partition = self._get_partition(query["topic"])
+        partition, era = self._get_partition(query["topic"]), self.era
         start, wait_s = int(query["from"]), int(query.get("wait_ms", "0")) / 1000
-        if start < partition.first:
+        if not partition.first <= start <= partition.end:
             return _make_json_reply(410, {"first": partition.first})
         if self._get_visible_end(partition) <= start and wait_s:
             try:
                 async with asyncio.timeout(wait_s):
-                    while self._get_visible_end(partition) <= start:
+                    while self._get_visible_end(partition) <= start and era == self.era:
                         await self._changed.wait()
             except TimeoutError:
                 pass
+        if era != self.era:
+            return Reply(0, abort=True)
         records = partition.records[start - partition.first :]
         records = records[: max(0, self._get_visible_end(partition) - start)]
         body = struct.pack(">QQ", self._get_visible_end(partition), partition.first)
--- a/tests/test_wire/test_encodings.py
+++ b/tests/test_wire/test_encodings.py
@@ -95,6 +95,8 @@
     "frame/beat": (_frames.FrameKind.HEARTBEAT, _peers.Heartbeat),
     "frame/beat-answer": (_frames.FrameKind.HEARTBEAT_REPLY, _peers.Heartbeat),
     "frame/upstream": (_frames.FrameKind.UPSTREAM, tuple[_peers.UpstreamView | None]),
+    "frame/upstream-notice": (_frames.FrameKind.UPSTREAM_NOTICE, mesh_rows.UpstreamNotice),
+    "frame/upstream-recall": (_frames.FrameKind.UPSTREAM_RECALL, mesh_rows.UpstreamNotice),
     "frame/load": (_frames.FrameKind.LOAD, mesh_rows.Load),
     "frame/call": (_frames.FrameKind.CALL, _link._CallHeader),
     "frame/call-body": (_frames.FrameKind.CALL_BODY, None),
