Believe a refusal only if it bears the id of the request

What callers could see: 'not run, try again' for a request that ran (REFUSED), or such a request run by a second upstream (TWICE).

Cause: a response with the id of another request was discarded, but one without an id was taken for the response to the request in progress. A faulty upstream that writes an earlier refusal once more, without an id, on a kept connection was believed.

Change: a response counts only if it bears the id of the request in progress. Without an id its outcome is unknown, and the connection is closed.

--- a/balsamhead/mesh/_upstream_connection.py
+++ b/balsamhead/mesh/_upstream_connection.py
@@ -203,7 +203,11 @@
                 "late-response-discarded", extra={"id": fields.request_id.decode("latin-1")}
             )
             self._discarding = True
-        elif self._on_notices is not None and (fields.signed or fields.not_executed):
+        elif (
+            self._on_notices is not None
+            and fields.request_id
+            and (fields.signed or fields.not_executed)
+        ):
             self._on_notices(ResponseNotices(fields.limit_per_s, fields.leaving))
         self._response_start, self._fields = start, fields
         self._decoder = BodyDecoder(start.length)
@@ -267,11 +271,18 @@
         elif not self._transport.is_closing():
             self._transport.resume_reading()
 
+    def _is_identified(self) -> bool:
+        """Return whether the response bears the id of the request in progress."""
+        assert self._call is not None
+        assert self._fields is not None
+        return self._fields.request_id == self._call.request_id
+
     def _is_valid_response(self) -> bool:
         assert self._response_start is not None
         assert self._fields is not None
         return (
-            not self._fields.not_executed
+            self._is_identified()
+            and not self._fields.not_executed
             and not self._fields.has_content_coding
             and (self._fields.signed or self._response_start.status >= 300)
         )
@@ -279,6 +290,9 @@
     def _make_invalid_outcome(self) -> NotExecuted | OutcomeUnknown:
         assert self._response_start is not None
         assert self._fields is not None
+        if not self._is_identified() or not self._fields.request_id:
+            # It may be a repetition of the response to an earlier request.
+            return OutcomeUnknown("answer-unidentified")
         if not self._fields.not_executed:
             return OutcomeUnknown("answer-unsigned")
         replaced = self._response_start.status == 421
@@ -300,6 +314,9 @@
         else:
             outcome = self._make_response(sum(map(len, self._buffered)), None)
         self._update_reuse()
+        if isinstance(outcome, OutcomeUnknown):
+            # The upstream may still run the request and respond on this connection.
+            self.close()
         pipe, self._pipe = self._pipe, None
         self._complete(outcome)
         if pipe is not None:
