Give each request of a stopping node a response before the node ends

What callers saw: requests that a stopping node had taken up to half of the grace time were cut without a response at its end, if they lasted beyond it; also those that run at most once (LOST).

Cause: the deadline of a request knew nothing of the end of the node that serves it. A request with a deadline of 5 s, taken 2.9 s after the stop signal, was still at work after 5.5 s.

Change: the end of the stop bounds the deadline of each request of the node, also of those that are in progress, so that waits and upstreams know of it and the last ones get a 504 instead of a closed connection. A request that would probably not end in time is refused unrun at once.

--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -58,6 +58,8 @@
 _ACCEPTING_FRACTION: Final = 0.5
 #: time before the stop deadline at which draining ends, finished or not, in s
 _STOP_MARGIN_S: Final = 0.5
+#: time before that at which the requests in progress get a response, in s
+_RESPONSE_MARGIN_S: Final = 0.1
 #: interval at which a stopping node checks whether it has drained, in s
 _DRAIN_POLL_INTERVAL_S: Final = 0.05
 
@@ -222,6 +224,7 @@
     async def _drain(self) -> None:
         started_at = self._loop.time()
         deadline = started_at + self._cfg.stop_deadline - _STOP_MARGIN_S
+        self._caller_side.set_stop_deadline(deadline - _RESPONSE_MARGIN_S)
         while self._loop.time() < deadline:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
             elapsed_s = self._loop.time() - started_at
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -50,6 +50,8 @@
 _DEFAULT_RETRY_AFTER_S: Final = 0.1
 #: Retry-After while the node stops, in s; short, since another node can take the request at once
 _STOPPING_RETRY_AFTER_S: Final = 0.02
+#: multiple of the mean service time that a stopping node must have left to take a request
+_SERVICE_TIME_MARGIN: Final = 1.5
 #: how long a peer that could not reach its upstream is sent no calls, in s
 _PEER_BACKOFF_S: Final = 0.3
 #: codes of refusals by an upstream that has no room at once, but may have some soon
@@ -93,6 +95,8 @@
         self._response_count = 0
         self._fairness = PriorityFairness()
         self._prior_attempt_time = PriorAttemptTime()
+        self._stop_deadline: float | None = None
+        self._timeouts: set[asyncio.Timeout] = set()
         #: new requests are refused, since the node would stop before they end
         self.stopping = False
 
@@ -100,6 +104,17 @@
         """Apply a configuration."""
         self._route_table = RouteTable(config)
 
+    def set_stop_deadline(self, stop_deadline: float) -> None:
+        """Give each request a response before the node stops.
+
+        :param stop_deadline: in s of the loop's clock.
+        """
+        self._stop_deadline = stop_deadline
+        for timeout in self._timeouts:
+            when = timeout.when()
+            if when is not None and when > stop_deadline:
+                timeout.reschedule(stop_deadline)
+
     async def handle(self, request: Request) -> Reply:
         """Route a request and return the reply for its caller."""
         try:
@@ -119,6 +134,8 @@
         deadline_ms = caller_headers.deadline_ms
         caller_timeout_s = (_DEFAULT_DEADLINE_MS if deadline_ms is None else deadline_ms) / 1000
         deadline = request.received_at + min(caller_timeout_s, route.timeout_s)
+        if self._stop_deadline is not None:
+            deadline = min(deadline, self._stop_deadline)
         service = self._round_robin.next_service(route)
         self._budget.record_request(service, self._loop.time())
         try:
@@ -136,8 +153,7 @@
             effective_route = route._replace(
                 priority=self._fairness.get_effective_priority(service, route.priority)
             )
-            async with asyncio.timeout_at(deadline):
-                reply = await self._forward(request, effective_route, service, deadline, trace)
+            reply = await self._forward_in_time(request, effective_route, service, deadline, trace)
         except TimeoutError:
             reply = self._fail(trace, "deadline-passed", 504)
         served = reply.status not in _UNSERVED_STATUSES
@@ -147,6 +163,16 @@
         )
         return reply
 
+    async def _forward_in_time(
+        self, request: Request, route: Route, service: str, deadline: float, trace: RequestTrace
+    ) -> Reply:
+        async with asyncio.timeout_at(deadline) as timeout:
+            self._timeouts.add(timeout)
+            try:
+                return await self._forward(request, route, service, deadline, trace)
+            finally:
+                self._timeouts.discard(timeout)
+
     async def _forward(
         self, request: Request, route: Route, service: str, deadline: float, trace: RequestTrace
     ) -> Reply:
@@ -262,6 +288,9 @@
         if selection is None:
             return Refused("upstreams-excluded")
         remaining_ms = (deadline - now) * 1000
+        expected_ms = selection.candidate.service_ms * _SERVICE_TIME_MARGIN
+        if self._stop_deadline is not None and remaining_ms < expected_ms:
+            return Refused("node-stopping", _STOPPING_RETRY_AFTER_S)
         objective_ms = (trace.objective_deadline - now) * 1000
         max_wait_ms = compute_max_wait(
             objective_ms=objective_ms,
