--- a/tests/test_mesh/test_truncated_heads.py
+++ b/tests/test_mesh/test_truncated_heads.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import io
+from typing import Any
 
 import pytest
 
@@ -27,6 +28,6 @@
 @pytest.mark.parametrize("prefix", [b"", INTERIM])
 def test_blocking_reader_reports_a_head_that_ends_early(prefix: bytes) -> None:
     for end in range(1, len(HEAD)):
-        reader = io.BufferedReader(io.BytesIO(prefix + HEAD[:end]))
+        reader: Any = io.BufferedReader(io.BytesIO(prefix + HEAD[:end]))
         with pytest.raises(EOFError):
             read_response_head(reader, method="GET", limit=4096)
