Split the connections of the upstream from its requests

Idle connections and their reuse move to ConnectionPool without a change of behaviour; a set of active connections that nothing read is gone.

--- /dev/null
+++ b/balsamhead/mesh/_connection_pool.py
@@ -0,0 +1,55 @@
+"""Keep idle connections to the upstream of this VM for reuse, and open new ones."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from balsamhead.mesh._upstream_connection import UpstreamConnection
+from balsamhead.mesh.model import RouteKind
+
+__all__ = ("ConnectionPool",)
+
+#: longest wait for a connection to the upstream, in s
+_CONNECT_TIMEOUT_S: Final = 0.3
+#: idle time from which a connection isn't reused for a request that must run at most once, in s;
+#: the upstream may have closed it meanwhile
+_MAX_ONCE_IDLE_S: Final = 0.2
+
+
+class ConnectionPool:
+    """Idle connections to one address, the most recently used first."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host, int(port)
+        self._loop = asyncio.get_running_loop()
+        self._idle: list[UpstreamConnection] = []
+
+    async def acquire(self, route_kind: RouteKind) -> UpstreamConnection:
+        """Return an idle connection that is fit for a request, or a new one.
+
+        :raises OSError: no connection could be opened.
+        """
+        now = self._loop.time()
+        while self._idle:
+            conn = self._idle.pop()
+            idle_time_s = now - conn.last_response_at
+            reusable = route_kind is not RouteKind.ONCE or idle_time_s < _MAX_ONCE_IDLE_S
+            if conn.is_usable(now) and reusable:
+                return conn
+            conn.close()
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            _, conn = await self._loop.create_connection(UpstreamConnection, self._host, self._port)
+        return conn
+
+    def release(self, conn: UpstreamConnection) -> None:
+        """Keep a connection for reuse, if it can carry another request."""
+        if conn.is_usable(self._loop.time()):
+            self._idle.append(conn)
+
+    def close_idle(self) -> None:
+        """Close the idle connections."""
+        for conn in self._idle:
+            conn.close()
+        self._idle.clear()
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -16,23 +16,22 @@
     ResponseNotices,
     UpstreamResponse,
 )
+from balsamhead.mesh._connection_pool import ConnectionPool
 from balsamhead.mesh._departures import Departures
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
-from balsamhead.mesh._upstream_connection import UpstreamConnection
 from balsamhead.mesh.model import Load, RouteKind, UpstreamNotice, UpstreamRecord, UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from balsamhead.mesh._metrics import MeshMetrics
+    from balsamhead.mesh._upstream_connection import UpstreamConnection
 
 __all__ = ("CallResult", "LocalUpstream")
 
 logger = logging.getLogger(__name__)
 
-#: longest wait for a connection to the upstream, in s
-_CONNECT_TIMEOUT_S: Final = 0.3
 #: weight of a new sample in the mean time of a request
 _SAMPLE_WEIGHT: Final = 0.05
 #: weight of a new outcome in the failure rate
@@ -44,9 +43,6 @@
 _UNAVAILABLE_S: Final = 1.0
 #: announcements that may be missed before the upstream is considered unavailable
 _MISSED_ANNOUNCEMENTS: Final = 3
-#: idle time from which a connection isn't reused for a request that must run at most once, in s;
-#: the upstream may have closed it meanwhile
-_MAX_ONCE_IDLE_S: Final = 0.2
 #: time after the deadline of a call at which its streamed response is cut, in s
 _STREAM_GRACE_S: Final = 0.5
 #: upper bound of a refusal's Retry-After, in s
@@ -82,16 +78,13 @@
         on_result: Callable[[CallResult], None],
         metrics: MeshMetrics,
     ) -> None:
-        host, _, port = address.rpartition(":")
-        self._host, self._port = host, int(port)
+        self._connections = ConnectionPool(address)
         self._service = service
         self._announcement_timeout_s = announce_interval_s * _MISSED_ANNOUNCEMENTS + 0.5
         self._on_change = on_change
         self._on_result = on_result
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
-        self._idle_connections: list[UpstreamConnection] = []
-        self._active_connections: set[UpstreamConnection] = set()
         self._slots = SlotQueue(count_slots=self._count_slots, metrics=metrics)
         self._announced_at = 0.0
         self._slow_start_ends_at = 0.0
@@ -131,7 +124,7 @@
             self._departures.add(record)
         changed = current is None or (current.id, current.started_at_ms) != key
         if changed:
-            self._close_idle_connections()
+            self._connections.close_idle()
             self.service_ms = _DEFAULT_SERVICE_MS
             self._sample_count = 0
             self._failure_rate = 0.0
@@ -357,23 +350,21 @@
     ) -> Outcome:
         record = self.record
         if record is None or not self._may_still_send(call, record):
-            self._return_connection(conn)
+            self._connections.release(conn)
             return self._refuse("upstream-draining")
         started_at = self._loop.time()
         remaining_s = deadline - started_at
         if remaining_s <= 0:
-            self._return_connection(conn)
+            self._connections.release(conn)
             return self._refuse("deadline-passed")
 
         timer = self._loop.call_at(deadline, conn.cancel, call, "deadline-passed")
 
         def finish() -> None:
             timer.cancel()
-            self._active_connections.discard(conn)
-            self._return_connection(conn)
+            self._connections.release(conn)
             slot_hold.release()
 
-        self._active_connections.add(conn)
         future = conn.send(
             call,
             body,
@@ -424,27 +415,11 @@
         return self.accepts_requests() and (not call.version or call.version == record.version)
 
     async def _connect(self, call: Call) -> UpstreamConnection | None:
-        now = self._loop.time()
-        while self._idle_connections:
-            conn = self._idle_connections.pop()
-            idle_time_s = now - conn.last_response_at
-            reusable = call.route_kind is not RouteKind.ONCE or idle_time_s < _MAX_ONCE_IDLE_S
-            if conn.is_usable(now) and reusable:
-                return conn
-            conn.close()
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                _, conn = await self._loop.create_connection(
-                    UpstreamConnection, self._host, self._port
-                )
+            return await self._connections.acquire(call.route_kind)
         except OSError as exc:
             self._mark_unavailable(exc)
             return None
-        return conn
-
-    def _return_connection(self, conn: UpstreamConnection) -> None:
-        if conn.is_usable(self._loop.time()):
-            self._idle_connections.append(conn)
 
     def _mark_unavailable(self, exc: OSError) -> None:
         logger.warning("upstream-unreachable", extra={"error": repr(exc)})
@@ -452,11 +427,6 @@
         self._slots.deny_all("upstream-unreachable")
         self._on_change()
 
-    def _close_idle_connections(self) -> None:
-        for conn in self._idle_connections:
-            conn.close()
-        self._idle_connections.clear()
-
     def _record_outcome(
         self, call: Call, record: UpstreamRecord, outcome: Outcome, took_ms: float
     ) -> None:
