Request missing changes from one peer at a time, the nearest first

A node that lacks a state requested it from every peer whose hello or heartbeat showed a later one, again with each heartbeat, and got a whole state of 13 kB each time, since the regions had passed through different states. The copies held up the next changes, so that more nodes lagged. Class of fault: retries without a bound that feed the shortage that causes them.

Change: one request is in progress at a time, to the nearest peer with a later state; the next peer is asked after 0.5 s, then 1 and 2 s, or at once when an answer shows that there is more. Log lines state-requested and state-sent name peer, base and bytes.

--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -136,11 +136,12 @@
             ),
         )
         self._sync = OperatorSync(
-            cfg.node,
+            self._own_record,
             records,
             link_manager=self._link_manager,
             traffic_split=self._traffic_split,
             on_change=self._apply_state,
+            rng=rng,
         )
         self._caller_server = HttpServer(
             self._caller_side.handle,
@@ -280,6 +281,7 @@
         self._timers[:] = [self._loop.call_later(_TICK_INTERVAL_S, self._tick)]
         live = self._link_manager.list_live()
         self._budget.node_count = len(live) + 1
+        self._sync.pull_if_behind()
         if self._describe_upstream() != self._announced_upstream:
             self._upstream_changed()
         self._rollouts.report_evidence()
@@ -354,7 +356,7 @@
     def peer_state_received(self, peer: Peer, link: Link) -> None:
         """Request the operator's state if the peer's is newer; send the rollouts if they differ."""
         if peer.offset > self._sync.offset:
-            self._sync.request_delta(link)
+            self._sync.pull_if_behind()
         if peer.rollout_checksum != self._traffic_split.checksum:
             self._rollouts.send_states(link)
 
--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -10,16 +10,19 @@
 from balsamhead.mesh._frames import Frame, FrameKind, encode_frame
 from balsamhead.mesh._peers import Peer, rank_nodes
 from balsamhead.mesh._state_history import StateHistory, decode_delta, encode_delta
+from balsamhead.mesh._state_pull import StatePull
 from balsamhead.mesh.model import OperatorState, Phase
 from balsamhead.util.positions import get_era, get_offset
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from balsamhead.mesh._link import Link
     from balsamhead.mesh._link_manager import LinkManager
     from balsamhead.mesh._records import RecordStore
     from balsamhead.mesh._traffic_split import TrafficSplit
+    from balsamhead.mesh.model import NodeRecord
 
 __all__ = ("STORE_RETRY_DELAY_S", "OperatorSync")
 
@@ -40,20 +43,22 @@
 
     def __init__(
         self,
-        own_name: str,
+        own_record: NodeRecord,
         records: RecordStore,
         *,
         link_manager: LinkManager,
         traffic_split: TrafficSplit,
         on_change: Callable[[OperatorState], None],
+        rng: random.Random,
     ) -> None:
-        self._own_name = own_name
+        self._own_name = own_record.name
         self._records = records
         self._link_manager = link_manager
         self._traffic_split = traffic_split
         self._on_change = on_change
         self._loop = asyncio.get_running_loop()
         self._history = StateHistory()
+        self._pull = StatePull(own_record, rng=rng)
         #: the last call to the store failed
         self.store_failed = False
 
@@ -159,18 +164,35 @@
 
         :raises MalformedMessageError: the delta can't be decoded or is inconsistent.
         """
-        applied = self._history.apply_delta(decode_delta(frame.body, peer=link.peer))
-        if applied is None:
-            self.request_delta(link)
-        elif applied:
+        delta = decode_delta(frame.body, peer=link.peer)
+        peer.offset = max(peer.offset, delta.offset)
+        if self._history.apply_delta(delta):
             self._notify_state(f"peer {peer.record.name}")
+        self.pull_if_behind()
+
+    def pull_if_behind(self) -> None:
+        """Request the missing changes if a peer holds a later state, from one peer at a time."""
+        peer = self._pull.start(self.offset, self._link_manager.list_live(), self._loop.time())
+        if peer is None or peer.link is None:
+            return
+        logger.info(
+            "state-requested",
+            extra={
+                "peer": peer.record.name,
+                "base": get_offset(self.offset) if self.offset >= 0 else -1,
+                "offset": get_offset(peer.offset),
+            },
+        )
+        peer.link.send(FrameKind.CONFIG_PULL, 0, (self.offset,))
 
     def send_delta(self, link: Link, base: int) -> None:
         """Send a peer the delta from offset ``base``, if this node holds a newer state."""
         delta = self._history.make_delta(base)
-        if delta is not None and delta.offset > base:
-            link.send(FrameKind.CONFIG, 0, None, encode_delta(delta))
-
-    def request_delta(self, link: Link) -> None:
-        """Request the delta from the state that this node holds."""
-        link.send(FrameKind.CONFIG_PULL, 0, (self.offset,))
+        if delta is None or delta.offset <= base:
+            return
+        body = encode_delta(delta)
+        logger.info(
+            "state-sent",
+            extra={"peer": link.peer, "whole": delta.base < 0, "bytes": len(body)},
+        )
+        link.send(FrameKind.CONFIG, 0, None, body)
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -38,7 +38,7 @@
     ("_server", "_upstream_connection", "_link", "_request_trace"),
     ("_peers", "_connection_pool"),
     ("_upstream",),
-    ("_link_manager", "_evidence"),
+    ("_link_manager", "_evidence", "_state_pull"),
     ("_upstream_index", "_rollouts", "_sync"),
     ("_request_router", "_rollout_exchange"),
     ("_node",),
