Drop the condition on the end of the status topic when the store's era rises

What could be seen: a rollout that had ended is recorded as running again after the store was restored, and the operator waits for its end (a duty missed).

Cause: a coordinator keeps the end of the status topic as the condition of its next append. In a restored store that end can be reached again by other records, so the condition holds by chance and a running state replaces the final one. Change: the end is kept with its era, and without one of the current era the states are read first, as after a conflict. A restoration between the read and the append remains possible.

The test failed before (the running state was recorded over rolled_back).

--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -42,9 +42,9 @@
 
     def __init__(self, store: StoreClient) -> None:
         self._store = store
-        #: end offset of the status topic after the last access, the condition of the next append;
-        #: None if it must be read first
-        self._status_end_offset: int | None = None
+        #: era and end offset of the status topic after the last access, the condition of the next
+        #: append; None if it must be read first
+        self._status_end: tuple[int, int] | None = None
 
     async def read_operator_state(self, known: OperatorState, *, wait_s: float) -> OperatorState:
         """Return the operator's state, waiting for a change from the known state.
@@ -126,7 +126,7 @@
         :raises LogError: the store gave no valid response.
         """
         newest = await self._store.read_newest(_STATUS_TOPIC)
-        self._status_end_offset = newest.end
+        self._status_end = (newest.era, newest.end)
         rollouts = []
         for record in newest.records:
             if record.key.startswith(ROLLOUT_KEY_PREFIX) and record.value:
@@ -147,14 +147,16 @@
         if final is not None:
             return final
         key, value = encode_rollout_status(rollout)
-        expected_end, self._status_end_offset = self._status_end_offset, None
-        self._status_end_offset = await self._store.append_keyed(
-            _STATUS_TOPIC, key, value, expected_end=expected_end
+        status_end, self._status_end = self._status_end, None
+        end = await self._store.append_keyed(
+            _STATUS_TOPIC, key, value, expected_end=status_end[1] if status_end else None
         )
+        self._status_end = (self._store.era, end)
         return rollout
 
     async def _find_final_state(self, rollout: Rollout) -> Rollout | None:
-        if self._status_end_offset is not None and rollout.phase is Phase.RUNNING:
+        era = self._status_end[0] if self._status_end is not None else -1
+        if era == self._store.era and rollout.phase is Phase.RUNNING:
             return None
         for record in await self.read_rollouts():
             is_same_order = (record.service, record.order) == (rollout.service, rollout.order)
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -183,3 +183,21 @@
             await StoreClient("10.9.0.9:1").read_newest("keyed.op")
 
     run_virtual(main)
+
+
+# A coordinator's condition on the old end of the topic held by chance in the restored store, and
+# its running state replaced the final one.
+def test_running_state_does_not_replace_a_final_one_after_a_restoration() -> None:
+    async def main() -> None:
+        store, client, records = await start_store()
+        topics = store.copy()
+        other = PlatformRecords(StoreClient(STORE))
+        await records.write_rollout(make_rollout(Phase.RUNNING))
+        store.restore(topics)
+        await other.write_rollout(make_rollout(Phase.ROLLED_BACK))
+        await client.read_newest("keyed.nodes")
+        recorded = await records.write_rollout(make_rollout(Phase.RUNNING))
+        assert recorded.phase is Phase.ROLLED_BACK
+        assert [row.phase for row in await other.read_rollouts()] == [Phase.ROLLED_BACK]
+
+    run_virtual(main)
