Read limit and leaving only from the upstream that a request was addressed to

What could be seen: a limit ends early, or an upstream that serves gets no more requests.

Cause: a response with status 421 comes from another upstream at the address, but what it says of itself was taken for the addressed one; without a limit in it, the known limit ended. Change: such a response gives no notices. One of the three cases of the test failed before.

--- a/balsamhead/mesh/_upstream_connection.py
+++ b/balsamhead/mesh/_upstream_connection.py
@@ -49,6 +49,8 @@
 _IDLE_MARGIN_S: Final = 1.0
 #: longest time that an idle connection is kept, in s
 _MAX_IDLE_S: Final = 4.0
+#: status of a response by another upstream than the one that the request was addressed to
+_MISDIRECTED: Final = 421
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -203,11 +205,7 @@
                 "late-response-discarded", extra={"id": fields.request_id.decode("latin-1")}
             )
             self._discarding = True
-        elif (
-            self._on_notices is not None
-            and fields.request_id
-            and (fields.signed or fields.not_executed)
-        ):
+        elif self._on_notices is not None and _is_from_addressee(start, fields):
             self._on_notices(ResponseNotices(fields.limit_per_s, fields.leaving))
         self._response_start, self._fields = start, fields
         self._decoder = BodyDecoder(start.length)
@@ -295,7 +293,7 @@
             return OutcomeUnknown("answer-unidentified")
         if not self._fields.not_executed:
             return OutcomeUnknown("answer-unsigned")
-        replaced = self._response_start.status == 421
+        replaced = self._response_start.status == _MISDIRECTED
         return NotExecuted("upstream-replaced" if replaced else "upstream-shed")
 
     def _make_response(self, length: int, rest: BodyPipe | None) -> UpstreamResponse:
@@ -352,3 +350,9 @@
             on_complete()
         if future is not None and not future.done():
             future.set_result(outcome)
+
+
+def _is_from_addressee(start: ResponseHead, fields: UpstreamHeaders) -> bool:
+    """Return whether the upstream that the request was addressed to wrote the response."""
+    identified = bool(fields.request_id) and (fields.signed or fields.not_executed)
+    return identified and start.status != _MISDIRECTED
--- a/tests/test_mesh/test_upstream_limits.py
+++ b/tests/test_mesh/test_upstream_limits.py
@@ -4,6 +4,9 @@
 from collections import Counter
 from collections.abc import Sequence
 
+import pytest
+
+from balsamhead.mesh._calls import ResponseNotices
 from standin.virtual_network import CURRENT_HOST
 from tests.test_mesh.builders import (
     NODE_1,
@@ -16,6 +19,7 @@
     make_settings,
     run_virtual,
 )
+from tests.test_mesh.test_upstream_connection import CALL, connect
 
 #: length of the window in which the requests of an upstream are counted, in s
 WINDOW_S = 4.0
@@ -148,3 +152,36 @@
         assert count_most_in_window(limited.arrival_times, since=since) <= get_allowed(1)
 
     run_virtual(main)
+
+
+# LIMIT: a response by another upstream at the same address ended the limit of the addressed one.
+@pytest.mark.parametrize(
+    ("status_line", "notices"),
+    [
+        (b"503 Full\r\nNot-Executed: 1\r\n", [ResponseNotices(7.5, leaving=True)]),
+        (b"421 Misdirected\r\n", []),
+        (b"200 OK\r\n", []),
+    ],
+)
+def test_only_the_addressed_upstream_changes_its_limit(
+    status_line: bytes, notices: list[ResponseNotices]
+) -> None:
+    async def main() -> None:
+        conn, upstream = await connect()
+        heard: list[ResponseNotices] = []
+        future = conn.send(
+            CALL,
+            b"",
+            upstream_id="i-1",
+            remaining_ms=900,
+            on_complete=lambda: None,
+            on_notices=heard.append,
+        )
+        upstream.transport.write(
+            b"HTTP/1.1 %bRequest-Id: r1\r\nServer-Limit: 7.5\r\nServer-Leaving: 1\r\n"
+            b"Content-Length: 0\r\n\r\n" % status_line
+        )
+        await future
+        assert heard == notices
+
+    run_virtual(main)
