Wait at most 1 s for requested changes before the next peer is asked

With 2 s a node whose first two peers had just died would have asked the third after 1.5 s and the fourth after 3.5 s, beyond the 2 s in which a change must be in force. Found by reading; 1 s still bounds the requests to one a node and second.

--- a/balsamhead/mesh/_state_pull.py
+++ b/balsamhead/mesh/_state_pull.py
@@ -16,7 +16,7 @@
 #: time after which changes that have not arrived are requested from another peer, in s: the first
 #: and the longest; it doubles with each request
 _INITIAL_TIMEOUT_S: Final = 0.5
-_MAX_TIMEOUT_S: Final = 2.0
+_MAX_TIMEOUT_S: Final = 1.0
 
 
 class StatePull:
