--- /dev/null
+++ b/tests/test_mesh/test_departure_machine.py
@@ -0,0 +1,149 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from balsamhead.mesh._metrics import MeshMetrics
+from balsamhead.mesh._peers import Peer, UpstreamView
+from balsamhead.mesh._upstream import LocalUpstream
+from balsamhead.mesh.model import NodeRecord, UpstreamRecord, UpstreamState
+from standin.virtual_network import VirtualLoop
+
+OWN_RECORD = NodeRecord("own", 1, "10.0.0.1:8004", "east-a", "east", "desk")
+PEER_COUNT = 2
+
+
+class DeparturesAcrossRestarts(RuleBasedStateMachine):
+    """Restart the node beside an upstream and the nodes of its peers, amid late announcements.
+
+    A node that has restarted is linked to its peers some time later, a peer at once.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = VirtualLoop()
+        self.peers = [Peer(OWN_RECORD) for _ in range(PEER_COUNT)]
+        #: the departures that were acknowledged to the upstream, by incarnation
+        self.acknowledged: set[tuple[str, int]] = set()
+        self.born, self.sequence = 1000, 0
+        self.linked = True
+        self.sent: list[UpstreamRecord] = []
+        self.upstream: LocalUpstream = self.run(self.make())
+
+    async def make(self) -> LocalUpstream:
+        return LocalUpstream(
+            address="10.0.0.1:8000",
+            service="desk",
+            announce_interval_s=1.5,
+            on_change=lambda: None,
+            on_result=lambda result: None,
+            metrics=MeshMetrics(),
+        )
+
+    def run(self, coro: Coroutine[Any, Any, Any]) -> Any:
+        return self.loop.run_until_complete(coro)
+
+    def teardown(self) -> None:
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.run(asyncio.sleep(0))
+        self.loop.close()
+
+    def tell_peers(self) -> None:
+        if not self.linked:
+            return
+        notice, record = self.upstream.get_notice(), self.upstream.record
+        for peer in self.peers:
+            if notice is not None:
+                peer.record_notice(notice)
+            if record is not None:
+                accepts = self.upstream.accepts_requests()
+                peer.upstream = UpstreamView(record.id, record.version, record.slots, accepts)
+
+    def apply(self, record: UpstreamRecord) -> None:
+        applied = self.upstream.apply_announcement(record)
+        if applied and record.state is UpstreamState.DRAINING:
+            self.acknowledged.add((record.id, record.started_at_ms))
+        self.tell_peers()
+
+    @rule(state=st.sampled_from(UpstreamState))
+    def announce(self, state: UpstreamState) -> None:
+        self.sequence += 1
+        record = UpstreamRecord(
+            "i-1", "desk", "10.0.0.1:8000", "v1", 2, state, 0.0, self.born, self.sequence
+        )
+        self.sent.append(record)
+        self.apply(record)
+
+    @rule(data=st.data())
+    def receive_late_announcement(self, data: st.DataObject) -> None:
+        if self.sent:
+            self.apply(data.draw(st.sampled_from(self.sent)))
+
+    @rule()
+    def leave(self) -> None:
+        """Deregister an upstream that its node knows."""
+        record = self.upstream.record
+        if record is not None and record.started_at_ms == self.born:
+            self.upstream.deregister("i-1")
+            self.acknowledged.add(("i-1", self.born))
+            self.tell_peers()
+
+    @rule()
+    def start_again(self) -> None:
+        """Start the upstream again under its id."""
+        self.born += 1000
+        self.sequence = 0
+
+    @rule()
+    def restart_node(self) -> None:
+        self.upstream = self.run(self.make())
+        self.linked = False
+        for peer in self.peers:
+            peer.upstream = None
+
+    @precondition(lambda self: not self.linked)
+    @rule()
+    def link(self) -> None:
+        """Link the restarted node to its peers; each end tells the other what it knows."""
+        self.linked = True
+        self.tell_peers()
+        for peer in self.peers:
+            if peer.notice is not None:
+                self.upstream.recall_notice(peer.notice)
+        self.tell_peers()
+
+    @precondition(lambda self: self.linked)
+    @rule(number=st.integers(0, PEER_COUNT - 1))
+    def restart_peer(self, number: int) -> None:
+        self.peers[number] = Peer(OWN_RECORD)
+        self.tell_peers()
+
+    @rule(seconds=st.floats(0.1, 3.0))
+    def wait(self, seconds: float) -> None:
+        self.run(asyncio.sleep(seconds))
+
+    @invariant()
+    def upstream_that_has_left_gets_no_requests(self) -> None:
+        record = self.upstream.record
+        if record is None or (record.id, record.started_at_ms) not in self.acknowledged:
+            return
+        for peer in self.peers:
+            assert peer.upstream is None or peer.is_upstream_leaving()
+        assert not self.linked or not self.upstream.accepts_requests()
+
+    @invariant()
+    def upstream_that_is_ready_is_known_to_leave_by_nobody(self) -> None:
+        if self.upstream.accepts_requests():
+            assert not any(peer.is_upstream_leaving() for peer in self.peers)
+
+
+TestDeparturesAcrossRestarts = DeparturesAcrossRestarts.TestCase
+TestDeparturesAcrossRestarts.settings = settings(
+    max_examples=150, stateful_step_count=25, deadline=None
+)
