--- a/bench/_size_tables.py
+++ b/bench/_size_tables.py
@@ -14,6 +14,7 @@
 from balsamhead.routing import build_snapshot
 from bench._fit import fit_line
 from bench._frame import Measure
+from bench._size_frame import NODES, make_measure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,10 +23,7 @@
 
 __all__ = ("measure_tables",)
 
-AREA: Final = "size"
-
-#: size for which the system is designed
-NODES: Final = 2900
+#: number of services for which the system is designed
 SERVICES: Final = 100
 CHANGES_PER_DAY: Final = 4100
 ROUTES_PER_SERVICE: Final = 3
@@ -182,4 +180,4 @@
 
 
 def _make_measure(name: str, unit: str, value: float, *, runs: int) -> Measure:
-    return Measure(AREA, f"{AREA}.{name}", unit, value, None, None, "lower", 0, runs)
+    return make_measure(name, unit, value, seed=0, runs=runs)
