Build the rollout of two benchmarks, and the waiting senders of two tests, once each

Two benchmarks of rollouts wrote the same record of a rollout and start time; two tests of flow control the same set-up.

--- a/bench/_rollout_fleet.py
+++ b/bench/_rollout_fleet.py
@@ -6,10 +6,11 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.document import PRESETS, Document, Objective, Region, Route, Service
-from balsamhead.fold import Rollout, RolloutPhase, empty_state
+from balsamhead.fold import empty_state
 from balsamhead.membership import Member, MemberStatus, Place, Upstream, UpstreamState
 from balsamhead.rollout import Finding, RolloutTracker
 from bench._frame import Measure, percentile
+from bench._rollout_start import START, make_rollout
 from standin.rollout_simulation import NodeStub, RolloutSimulation
 
 if TYPE_CHECKING:
@@ -17,7 +18,6 @@
 
 __all__ = ("FleetResult", "make_fleet_measures", "measure_fleet")
 
-START: Final = 1_000_000.0
 #: nodes of the fleet, spread over four data centres
 NODES: Final = 24
 #: runs of a bad version while the log is available, and again while it is unavailable
@@ -55,7 +55,7 @@
     ) -> None:
         rng = random.Random(seed)
         document = _make_document()
-        rollout = _make_rollout(share)
+        rollout = make_rollout(due_at=START + 600.0, share=share)
         state = empty_state()._replace(
             offset=1, document_offset=1, document=document, rollouts=(rollout,)
         )
@@ -178,20 +178,3 @@
     )
     route = Route("lookup", "svc", "h", "/lookup", ("GET",), 1000, True, False)
     return Document("bench", regions, (service,), (route,))
-
-
-def _make_rollout(share: float) -> Rollout:
-    return Rollout(
-        service="svc",
-        offset=1,
-        document_offset=1,
-        old="v1",
-        new="v2",
-        share=share,
-        phase=RolloutPhase.SHIFTING,
-        paused=False,
-        due_at=START + 600.0,
-        started_at=START,
-        reason="",
-        stepped_at=START,
-    )
--- a/bench/_rollout_run.py
+++ b/bench/_rollout_run.py
@@ -12,6 +12,7 @@
 from balsamhead.membership import Member, MemberStatus, Place, Upstream, UpstreamState
 from balsamhead.rollout import Finish, Late, RollBack, RolloutTracker, Step, plan_rollout
 from bench._rollout_cases import ROUTE_SHARES, Case, CaseKind, TrafficGenerator
+from bench._rollout_start import START, make_rollout
 
 if TYPE_CHECKING:
     from balsamhead.rollout import Verdict
@@ -19,8 +20,6 @@
 
 __all__ = ("Outcome", "run_case")
 
-#: start of the virtual clock, in s since the epoch
-START: Final = 1_000_000.0
 #: largest rate of calls per second, and the length of a period up to that rate, in s
 _PERIODS_BY_RATE: Final = ((5.0, 20.0), (60.0, 4.0), (500.0, 1.0))
 #: length of a period at higher rates, in s
@@ -149,7 +148,7 @@
     window_s = case.window_factor * (plan.earliest_done_at - START) + 60.0
     feasibility_plan = plan_rollout(policy, rates, share=0.0, now=START, due_at=START + window_s)
     document = _make_document(case, policy, START + window_s)
-    rollout = _make_rollout(START + window_s)
+    rollout = make_rollout(due_at=START + window_s)
     controller: Controller = (
         FixedStepController(rollout) if is_baseline else TrackerController(rollout, document)
     )
@@ -306,20 +305,3 @@
         Route(name, "svc", "h", f"/{name}", ("GET",), 1000, True, False) for name in ROUTE_SHARES
     )
     return Document("bench", (region,), (service,), routes)
-
-
-def _make_rollout(due_at: float) -> Rollout:
-    return Rollout(
-        service="svc",
-        offset=1,
-        document_offset=1,
-        old="v1",
-        new="v2",
-        share=0.0,
-        phase=RolloutPhase.SHIFTING,
-        paused=False,
-        due_at=due_at,
-        started_at=START,
-        reason="",
-        stepped_at=START,
-    )
--- a/tests/test_mesh/test_flow_control.py
+++ b/tests/test_mesh/test_flow_control.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import NamedTuple
 
 from balsamhead.mesh._flow_control import CHUNK_BYTES, InFlightLimit, PeerCredit, SendWindow
 from tests.test_mesh.builders import run_virtual
@@ -110,18 +111,34 @@
     run_virtual(main)
 
 
+class Senders(NamedTuple):
+    """A sender that has filled the window, and two that wait for it in this order."""
+
+    first: SendWindow
+    second: asyncio.Task[int]
+    third: asyncio.Task[int]
+
+
+async def start_senders() -> Senders:
+    limit, credit = InFlightLimit(), PeerCredit()
+    first, second, third = (SendWindow(limit, credit) for _ in range(3))
+    assert await send_chunks(first, 2, within_s=0.01) == 2
+    senders = Senders(
+        first,
+        asyncio.create_task(send_chunks(second, 1, within_s=1.0)),
+        asyncio.create_task(send_chunks(third, 1, within_s=1.0)),
+    )
+    await asyncio.sleep(0.01)
+    return senders
+
+
 def test_turn_of_a_sender_cancelled_after_it_was_woken_goes_to_the_next() -> None:
     async def main() -> None:
-        limit, credit = InFlightLimit(), PeerCredit()
-        first, second, third = (SendWindow(limit, credit) for _ in range(3))
-        assert await send_chunks(first, 2, within_s=0.01) == 2
-        task = asyncio.create_task(send_chunks(second, 1, within_s=1.0))
-        waiting = asyncio.create_task(send_chunks(third, 1, within_s=1.0))
+        senders = await start_senders()
+        senders.first.grant(CHUNK_BYTES)
+        senders.second.cancel()
         await asyncio.sleep(0.01)
-        first.grant(CHUNK_BYTES)
-        task.cancel()
-        await asyncio.sleep(0.01)
-        assert waiting.done()
+        assert senders.third.done()
 
     run_virtual(main)
 
@@ -137,16 +154,11 @@
 
 def test_cancelled_sender_leaves_its_turn_to_the_next() -> None:
     async def main() -> None:
-        limit, credit = InFlightLimit(), PeerCredit()
-        first, second, third = (SendWindow(limit, credit) for _ in range(3))
-        assert await send_chunks(first, 2, within_s=0.01) == 2
-        task = asyncio.create_task(send_chunks(second, 1, within_s=1.0))
-        waiting = asyncio.create_task(send_chunks(third, 1, within_s=1.0))
-        await asyncio.sleep(0.01)
-        task.cancel()
-        first.grant(CHUNK_BYTES)
-        assert not waiting.done()
+        senders = await start_senders()
+        senders.second.cancel()
+        senders.first.grant(CHUNK_BYTES)
+        assert not senders.third.done()
         await asyncio.sleep(0.01)
-        assert waiting.done()
+        assert senders.third.done()
 
     run_virtual(main)
