Notice a lost response of the store before the bounds of a change hold again

Cause: both readers begin their long polls at the same moment, since both are answered by the same change. From 1.71 s on neither got a response, and both noticed it at 6.22 s, after a wait of 3 s and the response timeout of 1.5 s (store-lost of both readers; version 14 comes into force at 7.39 s by the next reader). A node is held to the bound again 3 s after a fault, but took up to 5 s to notice a lost response.

Change: a long poll lasts 0.8 s, so that the poll, the response timeout and the retry delay together take 2.8 s. The test failed before (404 from a node that should know the route). Two readers make some 2.5 calls a second to the store in place of 0.7.

--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -32,8 +32,9 @@
 STORE_RETRY_DELAY_S: Final = 0.5
 #: number of nodes that read the operator's records from the store
 _READER_COUNT: Final = 2
-#: long-poll time: how long the store waits for new records before it responds, in s
-_LONG_POLL_S: Final = 3.0
+#: long-poll time: how long the store waits for new records before it responds, in s; a lost
+#: response goes unnoticed for this, the response timeout and the retry delay together
+_LONG_POLL_S: Final = 0.8
 #: interval at which a node checks whether it has become a reader, in s
 _READER_CHECK_INTERVAL_S: Final = 0.2
 
--- a/tests/test_mesh/test_configuration.py
+++ b/tests/test_mesh/test_configuration.py
@@ -47,6 +47,25 @@
     run_virtual(main)
 
 
+# CONFIG: both readers lost the response of a long poll, and noticed it too late.
+def test_change_is_in_force_in_time_after_all_readers_lost_a_response() -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(*(make_settings(number) for number in range(1, 6)))
+        cluster.store.put("keyed.op", "config", make_config(2))
+        cluster.store.faults.silent = True
+        await asyncio.sleep(0.1)
+        cluster.store.faults.silent = False
+        await asyncio.sleep(0.9)
+        cluster.store.put("keyed.op", "config", make_config(3, new=make_route(path_prefix="/new/")))
+        # nodes are held to the bound of 2 s from 3 s after the fault on
+        await asyncio.sleep(2.1)
+        for member in cluster.members.values():
+            assert (await send_request(member.cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
 def test_configuration_change_arrives_while_all_readers_stop() -> None:
     async def main() -> None:
         cluster, send_request = InMemoryCluster(), RequestSender()
