Tell a crash of an upstream from a lost connection, and log what was running on it

A node now looks at the other connections to its upstream after a loss and probes with a new one if none is open, or waits for the announcement of a new incarnation; upstream-crashed names the requests that were running. A busy upstream is never probed, since another connection is open then.

--- a/balsamhead/mesh/_connection_pool.py
+++ b/balsamhead/mesh/_connection_pool.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 from typing import Final
 
+from balsamhead.mesh._crash_detector import ProbeResult
 from balsamhead.mesh._upstream_connection import UpstreamConnection
 from balsamhead.mesh.model import RouteKind
 
@@ -25,6 +27,7 @@
         self._host, self._port = host, int(port)
         self._loop = asyncio.get_running_loop()
         self._idle: list[UpstreamConnection] = []
+        self._connections: weakref.WeakSet[UpstreamConnection] = weakref.WeakSet()
 
     async def acquire(self, route_kind: RouteKind) -> UpstreamConnection:
         """Return an idle connection that is fit for a request, or a new one.
@@ -39,10 +42,29 @@
             if conn.is_usable(now) and reusable:
                 return conn
             conn.close()
+        return await self._connect()
+
+    async def probe(self) -> ProbeResult:
+        """Open a connection, close it again, and return what that says of the upstream."""
+        try:
+            conn = await self._connect()
+        except ConnectionRefusedError:
+            return ProbeResult.DEAD
+        except OSError:
+            return ProbeResult.SILENT
+        conn.close()
+        return ProbeResult.ALIVE
+
+    async def _connect(self) -> UpstreamConnection:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             _, conn = await self._loop.create_connection(UpstreamConnection, self._host, self._port)
+        self._connections.add(conn)
         return conn
 
+    def has_open_connections(self) -> bool:
+        """Return whether a connection is open, idle or in use."""
+        return any(conn.is_open() for conn in self._connections)
+
     def release(self, conn: UpstreamConnection) -> None:
         """Keep a connection for reuse, if it can carry another request."""
         if conn.is_usable(self._loop.time()):
--- /dev/null
+++ b/balsamhead/mesh/_crash_detector.py
@@ -0,0 +1,118 @@
+"""Detect that the VM's upstream has crashed, and find the requests that were running on it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+from balsamhead.mesh._calls import NotExecuted, Outcome, OutcomeUnknown, UpstreamResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from balsamhead.mesh._calls import Call
+
+__all__ = ("CrashDetector", "ProbeResult", "RunningRequest")
+
+#: time after a lost connection at which the others are looked at, in s; a crash closes all of them
+_CHECK_DELAY_S: Final = 0.002
+#: maximum number of lost requests that wait for the confirmation of a crash
+_MAX_LOST: Final = 256
+#: codes of outcomes after which a request may have been running when the upstream crashed
+_LOST_CODES: Final = (
+    "connection-lost",
+    "connection-lost-unheard",
+    "deadline-passed",
+    "caller-left",
+)
+
+
+class ProbeResult(Enum):
+    """Result of an attempt to connect to the upstream."""
+
+    #: the connection was accepted
+    ALIVE = "alive"
+    #: no process listens on the address
+    DEAD = "dead"
+    #: there was no response
+    SILENT = "silent"
+
+
+class RunningRequest:
+    """A request that was sent to the upstream and has not ended."""
+
+    __slots__ = ("body", "call", "repeated")
+
+    def __init__(self, call: Call, body: bytes, *, repeated: bool) -> None:
+        self.call = call
+        self.body = body
+        #: an equal request was known to have been running in a crash when this one was sent
+        self.repeated = repeated
+
+
+class CrashDetector:
+    """Tell a crash of the upstream from the loss of single connections.
+
+    An upstream has crashed if a connection to it was lost, none is open and a new one is refused,
+    or if a new incarnation announces itself though the previous one did not leave.
+    """
+
+    def __init__(
+        self,
+        *,
+        has_open_connections: Callable[[], bool],
+        probe: Callable[[], Coroutine[None, None, ProbeResult]],
+        on_crash: Callable[[list[RunningRequest]], None],
+    ) -> None:
+        self._has_open_connections = has_open_connections
+        self._probe = probe
+        self._on_crash = on_crash
+        self._loop = asyncio.get_running_loop()
+        self._running: set[RunningRequest] = set()
+        #: requests without a response since the last sign of life of the upstream
+        self._lost: deque[RunningRequest] = deque(maxlen=_MAX_LOST)
+        self._check: asyncio.Task[None] | None = None
+
+    def start(self, call: Call, body: bytes, *, repeated: bool = False) -> RunningRequest:
+        """Record that a request is sent, and return the record to pass to :meth:`finish`."""
+        request = RunningRequest(call, body, repeated=repeated)
+        self._running.add(request)
+        return request
+
+    def finish(self, request: RunningRequest, outcome: Outcome) -> None:
+        """Record the end of a request's exchange."""
+        self._running.discard(request)
+        match outcome:
+            case UpstreamResponse() | NotExecuted():
+                self._lost.clear()
+            case OutcomeUnknown(code=code) if code in _LOST_CODES:
+                self._lost.append(request)
+                if code.startswith("connection-lost") and self._check is None:
+                    self._check = self._loop.create_task(self._check_connections())
+
+    def confirm_restart(self) -> None:
+        """Report a crash, since a new incarnation has announced itself."""
+        lost = list(self._lost)
+        self._lost.clear()
+        if lost:
+            self._on_crash(lost)
+
+    def reset(self) -> None:
+        """Forget the lost requests, since the upstream has left as planned."""
+        self._lost.clear()
+
+    async def _check_connections(self) -> None:
+        try:
+            await asyncio.sleep(_CHECK_DELAY_S)
+            alive = self._has_open_connections()
+            result = ProbeResult.ALIVE if alive else await self._probe()
+        finally:
+            self._check = None
+        if result is ProbeResult.ALIVE:
+            self._lost.clear()
+        elif result is ProbeResult.DEAD and self._lost:
+            requests = [*self._lost, *self._running]
+            self._lost.clear()
+            self._on_crash(requests)
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -17,6 +17,7 @@
     UpstreamResponse,
 )
 from balsamhead.mesh._connection_pool import ConnectionPool
+from balsamhead.mesh._crash_detector import CrashDetector, RunningRequest
 from balsamhead.mesh._departures import Departures
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
@@ -95,6 +96,11 @@
         #: this incarnation of the upstream has responded to this run of the node
         self._heard_notices = False
         self._tasks: set[asyncio.Task[Outcome]] = set()
+        self._crash_detector = CrashDetector(
+            has_open_connections=self._connections.has_open_connections,
+            probe=self._connections.probe,
+            on_crash=self._handle_crash,
+        )
         self.record: UpstreamRecord | None = None
         self.service_ms = _DEFAULT_SERVICE_MS
         self._sample_count = 0
@@ -124,6 +130,10 @@
             self._departures.add(record)
         changed = current is None or (current.id, current.started_at_ms) != key
         if changed:
+            if current is None or current.state is UpstreamState.DRAINING:
+                self._crash_detector.reset()
+            else:
+                self._crash_detector.confirm_restart()
             self._connections.close_idle()
             self.service_ms = _DEFAULT_SERVICE_MS
             self._sample_count = 0
@@ -360,10 +370,13 @@
 
         timer = self._loop.call_at(deadline, conn.cancel, call, "deadline-passed")
 
-        def finish() -> None:
+        running = self._crash_detector.start(call, body)
+
+        def finish(outcome: Outcome) -> None:
             timer.cancel()
             self._connections.release(conn)
             slot_hold.release()
+            self._crash_detector.finish(running, outcome)
 
         future = conn.send(
             call,
@@ -421,6 +434,19 @@
             self._mark_unavailable(exc)
             return None
 
+    def _handle_crash(self, requests: list[RunningRequest]) -> None:
+        record = self.record
+        if record is None or record.state is UpstreamState.DRAINING:
+            return
+        logger.warning(
+            "upstream-crashed",
+            extra={
+                "upstream": record.id,
+                "started_at_ms": record.started_at_ms,
+                "requests": [row.call.request_id.decode("latin-1") for row in requests],
+            },
+        )
+
     def _mark_unavailable(self, exc: OSError) -> None:
         logger.warning("upstream-unreachable", extra={"error": repr(exc)})
         self._unavailable_until = self._loop.time() + _UNAVAILABLE_S
--- a/balsamhead/mesh/_upstream_connection.py
+++ b/balsamhead/mesh/_upstream_connection.py
@@ -69,7 +69,7 @@
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._pipe: BodyPipe | None = None
-        self._on_complete: Callable[[], None] | None = None
+        self._on_complete: Callable[[Outcome], None] | None = None
         self._on_notices: Callable[[ResponseNotices], None] | None = None
         self._discarding = False
         self._write_paused = False
@@ -124,6 +124,10 @@
         except FramingError as exc:
             self._fail(exc.code)
 
+    def is_open(self) -> bool:
+        """Return whether the connection is open."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def is_usable(self, now: float) -> bool:
         """Return whether another request may be sent."""
         return self._call is None and self._transport is not None and now < self.reusable_until
@@ -141,13 +145,14 @@
         *,
         upstream_id: str,
         remaining_ms: int,
-        on_complete: Callable[[], None],
+        on_complete: Callable[[Outcome], None],
         on_notices: Callable[[ResponseNotices], None] | None = None,
     ) -> asyncio.Future[Outcome]:
         """Send a request and return a future of its outcome.
 
         :param on_notices: called with what the response to this request says of the upstream.
-        :param on_complete: called when the exchange has ended, including a streamed body.
+        :param on_complete: called with the outcome when the exchange has ended, including a
+            streamed body.
         """
         assert self._transport is not None
         self._call, self._on_complete, self._on_notices = call, on_complete, on_notices
@@ -347,7 +352,7 @@
         self._buffer.clear()
         self._discarding = False
         if on_complete is not None:
-            on_complete()
+            on_complete(outcome)
         if future is not None and not future.done():
             future.set_result(outcome)
 
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -35,7 +35,7 @@
         "_traffic_split",
         "_state_history",
     ),
-    ("_server", "_upstream_connection", "_link", "_request_trace"),
+    ("_server", "_upstream_connection", "_link", "_request_trace", "_crash_detector"),
     ("_peers", "_connection_pool"),
     ("_upstream",),
     ("_link_manager", "_evidence", "_state_pull"),
--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -130,6 +130,11 @@
         self.extra_headers = b""
         #: when each request arrived, in s of the loop's clock
         self.arrival_times: list[float] = []
+        #: returns whether a request crashes the upstream as it begins to run
+        self.is_fatal: Callable[[Request], bool] = lambda request: False
+        #: time until the upstream runs again after a crash, in s
+        self.restart_delay_s = 3.0
+        self._restarts: set[asyncio.Task[None]] = set()
         #: returns a reply that replaces the usual one, or None
         self.make_custom_reply: Callable[[Request], Reply | None] = lambda request: None
         self._server = HttpServer(self._run, get_limits=lambda: LIMITS)
@@ -148,6 +153,20 @@
         if self._announcing is not None:
             self._announcing.cancel()
 
+    def crash_and_restart(self) -> None:
+        """Stop at once, and run again as a new incarnation after the restart delay."""
+        self.crash()
+        task = asyncio.get_running_loop().create_task(self._restart())
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(self.restart_delay_s)
+        self.born += 1
+        self.sequence = 0
+        self._server = HttpServer(self._run, get_limits=lambda: LIMITS)
+        await self.start()
+
     async def announce(self) -> Response:
         self.sequence += 1
         body = {
@@ -185,6 +204,9 @@
         self.requests.append(request)
         self.arrival_times.append(asyncio.get_running_loop().time())
         self.run_counts[request_id.decode()] += 1
+        if self.is_fatal(request):
+            self.crash_and_restart()
+            return Reply(0, abort=True)
         self.running += 1
         self.max_running = max(self.max_running, self.running)
         try:
--- /dev/null
+++ b/tests/test_mesh/test_crash_detector.py
@@ -0,0 +1,146 @@
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import pytest
+
+from balsamhead.mesh._calls import Call, OutcomeUnknown, UpstreamResponse
+from balsamhead.mesh._crash_detector import CrashDetector, ProbeResult, RunningRequest
+from balsamhead.mesh.model import RouteKind
+from tests.test_mesh.builders import NODE_1, InMemoryCluster, RequestSender, run_virtual
+
+LOST = OutcomeUnknown("connection-lost-unheard")
+RESPONSE = UpstreamResponse(200, b"OK", b"", b"", 0)
+
+
+def make_call(request_id: bytes) -> Call:
+    return Call(
+        request_id,
+        "GET",
+        b"/a",
+        b"",
+        "check",
+        RouteKind.SAFE,
+        2,
+        "desk",
+        "",
+        "desk",
+        1000,
+        250,
+        400,
+    )
+
+
+class Upstream:
+    """Connections of a detector's upstream, and the crashes that it has reported."""
+
+    def __init__(self) -> None:
+        self.open_connections = 0
+        self.probe_result = ProbeResult.DEAD
+        self.probes = 0
+        self.crashes: list[list[bytes]] = []
+        self.detector = CrashDetector(
+            has_open_connections=lambda: self.open_connections > 0,
+            probe=self.probe,
+            on_crash=self.record,
+        )
+
+    async def probe(self) -> ProbeResult:
+        self.probes += 1
+        return self.probe_result
+
+    def record(self, requests: list[RunningRequest]) -> None:
+        self.crashes.append(sorted(row.call.request_id for row in requests))
+
+    def start(self, request_id: bytes) -> RunningRequest:
+        return self.detector.start(make_call(request_id), b"")
+
+
+def test_refused_connection_after_a_loss_is_a_crash_under_all_running_requests() -> None:
+    async def main() -> None:
+        upstream = Upstream()
+        first, _, ended = (upstream.start(name) for name in (b"r1", b"r2", b"r3"))
+        upstream.detector.finish(ended, RESPONSE)
+        upstream.detector.finish(first, LOST)
+        await asyncio.sleep(0.1)
+        assert upstream.crashes == [[b"r1", b"r2"]]
+
+    run_virtual(main)
+
+
+def test_loss_beside_an_open_connection_is_no_crash_and_probes_nothing() -> None:
+    async def main() -> None:
+        upstream = Upstream()
+        upstream.open_connections = 1
+        upstream.detector.finish(upstream.start(b"r1"), LOST)
+        await asyncio.sleep(0.1)
+        upstream.detector.confirm_restart()
+        assert (upstream.probes, upstream.crashes) == (0, [])
+
+    run_virtual(main)
+
+
+def test_loss_at_an_upstream_that_accepts_a_connection_is_no_crash() -> None:
+    async def main() -> None:
+        upstream = Upstream()
+        upstream.probe_result = ProbeResult.ALIVE
+        upstream.detector.finish(upstream.start(b"r1"), LOST)
+        await asyncio.sleep(0.1)
+        upstream.detector.confirm_restart()
+        assert (upstream.probes, upstream.crashes) == (1, [])
+
+    run_virtual(main)
+
+
+def test_silent_upstream_has_crashed_once_a_new_incarnation_announces_itself() -> None:
+    async def main() -> None:
+        upstream = Upstream()
+        upstream.probe_result = ProbeResult.SILENT
+        upstream.detector.finish(upstream.start(b"r1"), LOST)
+        upstream.detector.finish(upstream.start(b"r2"), OutcomeUnknown("deadline-passed"))
+        await asyncio.sleep(0.1)
+        assert upstream.crashes == []
+        upstream.detector.confirm_restart()
+        assert upstream.crashes == [[b"r1", b"r2"]]
+
+    run_virtual(main)
+
+
+def test_requests_lost_before_a_response_are_not_part_of_a_later_crash() -> None:
+    async def main() -> None:
+        upstream = Upstream()
+        upstream.detector.finish(upstream.start(b"r1"), OutcomeUnknown("deadline-passed"))
+        upstream.detector.finish(upstream.start(b"r2"), RESPONSE)
+        upstream.detector.finish(upstream.start(b"r3"), LOST)
+        await asyncio.sleep(0.1)
+        assert upstream.crashes == [[b"r3"]]
+
+    run_virtual(main)
+
+
+def test_planned_departure_is_no_crash() -> None:
+    async def main() -> None:
+        upstream = Upstream()
+        upstream.detector.finish(upstream.start(b"r1"), OutcomeUnknown("deadline-passed"))
+        upstream.detector.reset()
+        upstream.detector.confirm_restart()
+        assert upstream.crashes == []
+
+    run_virtual(main)
+
+
+def test_log_names_the_requests_that_were_running_in_a_crash(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(NODE_1)
+        cluster.members[1].upstream.is_fatal = lambda request: request.body == b"fatal"
+        assert (await send_request(NODE_1, "/accept/1", method="POST", body=b"fatal")).status == 502
+        await asyncio.sleep(0.1)
+
+    caplog.set_level(logging.INFO)
+    run_virtual(main)
+    crashes = [row for row in caplog.records if row.message == "upstream-crashed"]
+    assert [vars(row)["requests"] for row in crashes] == [["r1"]]
--- a/tests/test_mesh/test_upstream_connection.py
+++ b/tests/test_mesh/test_upstream_connection.py
@@ -52,7 +52,9 @@
 
 
 def send(conn: UpstreamConnection) -> asyncio.Future[Outcome]:
-    return conn.send(CALL, b"", upstream_id="i-1", remaining_ms=900, on_complete=lambda: None)
+    return conn.send(
+        CALL, b"", upstream_id="i-1", remaining_ms=900, on_complete=lambda outcome: None
+    )
 
 
 async def exchange(*chunks: bytes, reset: bool = False, close: bool = False) -> Outcome:
--- a/tests/test_mesh/test_upstream_limits.py
+++ b/tests/test_mesh/test_upstream_limits.py
@@ -174,7 +174,7 @@
             b"",
             upstream_id="i-1",
             remaining_ms=900,
-            on_complete=lambda: None,
+            on_complete=lambda outcome: None,
             on_notices=heard.append,
         )
         upstream.transport.write(
