Share the table of suspected requests between the two paths

The mesh path needs what proxy/_crash.py has: crashes by fingerprint, refusals that double, expiry and bounds. They move to util/suspects.py, with what counts as conclusive passed in, and the memory of messages to util/recent.py. The tests of the first path are unchanged.

--- a/balsamhead/proxy/_crash.py
+++ b/balsamhead/proxy/_crash.py
@@ -14,6 +14,8 @@
     UpstreamLost,
 )
 from balsamhead.membership import UpstreamState
+from balsamhead.util.recent import RecentValues
+from balsamhead.util.suspects import SuspectTable
 from balsamhead.wire import CrashCleared, CrashNotice
 
 if TYPE_CHECKING:
@@ -23,16 +25,13 @@
 
 #: number of crashes at which a fingerprint is refused
 _CRASH_THRESHOLD = 2
-#: duration of the first refusal, in s; it doubles with each further refusal up to the maximum
+#: duration of the first refusal, in s
 _INITIAL_REFUSAL_S = 30.0
-_MAX_REFUSAL_S = 3600.0
-#: time after which a fingerprint without a further crash is removed, in s
-_SUSPECT_TTL_S = 600.0
 #: longest time between a crash and a report that it can confirm, in s
 _CONFIRMATION_WINDOW_S = 10.0
 #: time for which a crash observed by this node counts towards a local refusal, in s
 _LOCAL_WINDOW_S = 10.0
-#: maximum number of tracked fingerprints
+#: maximum number of fingerprints with crashes that this node has observed
 _MAX_SUSPECTS = 1024
 #: maximum number of remembered messages; a remembered message is not forwarded again
 _MAX_SEEN_MESSAGES = 4096
@@ -89,21 +88,6 @@
         return len(crash_times) >= _CRASH_THRESHOLD
 
 
-class _Suspect:
-    """Confirmed crashes and refusals of one fingerprint."""
-
-    __slots__ = ("crashes", "refusal_count", "refused_until", "updated_at")
-
-    def __init__(self) -> None:
-        #: confirmed crashes, as node and incarnation of the upstream
-        self.crashes: set[tuple[str, int]] = set()
-        #: number of refusals so far
-        self.refusal_count = 0
-        #: end of the refusal, in s; 0 if not refused
-        self.refused_until = 0.0
-        self.updated_at = 0.0
-
-
 class CrashRegistry:
     """Registry of confirmed crashes by fingerprint, replicated to every node.
 
@@ -116,8 +100,14 @@
         self._tables = tables
         #: the current view for calls; replaced, never modified, so that threads need no lock
         self.view = CrashView(frozenset(), frozenset(), 0.0)
-        self._suspects: dict[bytes, _Suspect] = {}
-        self._seen_messages: dict[CrashNotice | CrashCleared, None] = {}
+        #: confirmed crashes, as node and incarnation of the upstream
+        self._suspects: SuspectTable[tuple[str, int]] = SuspectTable(
+            is_conclusive=lambda crashes: len(crashes) >= _CRASH_THRESHOLD,
+            initial_refusal_s=_INITIAL_REFUSAL_S,
+        )
+        self._seen_messages: RecentValues[CrashNotice | CrashCleared] = RecentValues(
+            _MAX_SEEN_MESSAGES
+        )
         #: reports about the local upstream that are not confirmed yet, with the time of receipt
         self._unconfirmed_reports: dict[CrashNotice, float] = {}
         #: times at which the local upstream ended without draining, by incarnation
@@ -139,11 +129,11 @@
             case CrashObserved():
                 return self._report_crash(event, now)
             case SuspectRequestAnswered():
-                return self._clear_answered(event.fingerprint)
+                return self._clear_answered(event.fingerprint, now)
             case MessageReceived(message=CrashNotice() as notice):
                 return self._handle_notice(notice, now, sender=event.peer)
             case MessageReceived(message=CrashCleared() as cleared):
-                return self._handle_cleared(cleared, sender=event.peer)
+                return self._handle_cleared(cleared, now, sender=event.peer)
             case UpstreamAnnounced():
                 return self._handle_announcement(event, now)
             case UpstreamLost():
@@ -165,25 +155,10 @@
         self._crash_times = {
             i: at for i, at in self._crash_times.items() if now - at < _CONFIRMATION_WINDOW_S
         }
-        is_changed = False
-        for fingerprint, suspect in list(self._suspects.items()):
-            is_changed |= self._expire_suspect(fingerprint, suspect, now)
-        if is_changed:
+        if self._suspects.expire(now):
             self._update_view(now)
         return []
 
-    def _expire_suspect(self, fingerprint: bytes, suspect: _Suspect, now: float) -> bool:
-        if suspect.refused_until and now >= suspect.refused_until:
-            # keep one crash, so that a single further crash refuses it again, for longer
-            suspect.refused_until = 0.0
-            suspect.crashes = {min(suspect.crashes)}
-            suspect.updated_at = now
-            return True
-        if not suspect.refused_until and now - suspect.updated_at >= _SUSPECT_TTL_S:
-            del self._suspects[fingerprint]
-            return True
-        return False
-
     def _update_incarnation(self) -> None:
         local_member = self._tables.members.get(self._tables.identity.node)
         if local_member is not None and local_member.upstream is not None:
@@ -200,7 +175,7 @@
         return self._handle_notice(notice, now, sender="")
 
     def _handle_notice(self, notice: CrashNotice, now: float, *, sender: str) -> list[Command]:
-        if not self._mark_seen(notice):
+        if not self._seen_messages.add(notice):
             return []
         if notice.confirmed:
             return [*self._forward(notice, sender), *self._count_crash(notice, now)]
@@ -240,59 +215,34 @@
         return self._handle_notice(confirmed, now, sender="")
 
     def _count_crash(self, notice: CrashNotice, now: float) -> list[Command]:
-        if len(self._suspects) >= _MAX_SUSPECTS and notice.fingerprint not in self._suspects:
-            oldest = min(self._suspects, key=lambda key: self._suspects[key].updated_at)
-            del self._suspects[oldest]
-        suspect = self._suspects.setdefault(notice.fingerprint, _Suspect())
-        suspect.crashes.add((notice.node, notice.incarnation))
-        suspect.updated_at = now
-        commands: list[Command] = []
-        if len(suspect.crashes) >= _CRASH_THRESHOLD and not suspect.refused_until:
-            factor = 2.0 ** min(suspect.refusal_count, 10)
-            suspect.refused_until = now + min(_MAX_REFUSAL_S, _INITIAL_REFUSAL_S * factor)
-            suspect.refusal_count += 1
-            commands.append(_make_refusal_note(notice, suspect.refused_until - now))
+        crash = notice.node, notice.incarnation
+        refusal_s = self._suspects.add(notice.fingerprint, crash, now)
         self._update_view(now)
-        return commands
+        return [_make_refusal_note(notice, refusal_s)] if refusal_s else []
 
-    def _clear_answered(self, fingerprint: bytes) -> list[Command]:
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or suspect.refused_until:
+    def _clear_answered(self, fingerprint: bytes, now: float) -> list[Command]:
+        if fingerprint not in self._suspects or self._suspects.is_refused(fingerprint):
             return []
-        crashes = tuple(sorted(suspect.crashes))
-        return self._handle_cleared(CrashCleared(fingerprint, crashes), sender="")
+        crashes = tuple(sorted(self._suspects.get_crashes(fingerprint)))
+        return self._handle_cleared(CrashCleared(fingerprint, crashes), now, sender="")
 
-    def _handle_cleared(self, cleared: CrashCleared, *, sender: str) -> list[Command]:
-        if not self._mark_seen(cleared):
+    def _handle_cleared(self, cleared: CrashCleared, now: float, *, sender: str) -> list[Command]:
+        if not self._seen_messages.add(cleared):
             return []
-        suspect = self._suspects.get(cleared.fingerprint)
-        if suspect is not None and not suspect.refused_until:
-            suspect.crashes -= set(cleared.crashes)
-            if not suspect.crashes:
-                del self._suspects[cleared.fingerprint]
-            self._update_view(0.0)
+        if not self._suspects.is_refused(cleared.fingerprint):
+            self._suspects.discard(cleared.fingerprint, cleared.crashes)
+            self._update_view(now)
         return self._forward(cleared, sender)
 
-    def _mark_seen(self, message: CrashNotice | CrashCleared) -> bool:
-        if message in self._seen_messages:
-            return False
-        if len(self._seen_messages) >= _MAX_SEEN_MESSAGES:
-            del self._seen_messages[next(iter(self._seen_messages))]
-        self._seen_messages[message] = None
-        return True
-
     def _forward(self, message: CrashNotice | CrashCleared, sender: str) -> list[Command]:
         return [Send(peer, message) for peer in self._tables.links if peer != sender]
 
     def _update_view(self, now: float) -> None:
-        suspects = self._suspects.items()
-        refused = frozenset(key for key, suspect in suspects if suspect.refused_until)
-        remaining_s = [
-            suspect.refused_until - now for _, suspect in suspects if suspect.refused_until
-        ]
+        refused = self._suspects.list_refused()
+        remaining_s = [self._suspects.get_refusal_time(key, now) for key in refused]
         self.view = CrashView(
             refused=refused,
-            suspected=frozenset(key for key, _ in suspects) - refused,
+            suspected=self._suspects.list_suspected(),
             retry_after_s=max(1.0, min(remaining_s, default=0.0)),
         )
 
--- a/balsamhead/proxy/_gateway.py
+++ b/balsamhead/proxy/_gateway.py
@@ -9,8 +9,6 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
-import xxhash
-
 from balsamhead.proxy._crash import LocalCrashTracker
 from balsamhead.proxy._exchange import (
     AttemptResult,
@@ -34,6 +32,7 @@
     Retry,
     make_refusal,
 )
+from balsamhead.util.suspects import hash_parts
 
 if TYPE_CHECKING:
     import socket
@@ -87,12 +86,7 @@
 
     :param body: the buffered part of the body; only its first 1024 bytes count.
     """
-    digest = xxhash.xxh3_128()
-    for part in (head.method.encode(), route.encode(), head.target):
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
-    digest.update(body[:_FINGERPRINT_BYTES])
-    return digest.digest()
+    return hash_parts(head.method.encode(), route.encode(), head.target, body[:_FINGERPRINT_BYTES])
 
 
 def encode_refusal(refusal: Refusal, *, keep_alive: bool, with_body: bool = True) -> bytes:
