Acknowledge a departure only once a peer can remember it

What callers would see: requests at an upstream after its departure was acknowledged (DRAIN). A node that had restarted and was linked to nobody yet acknowledged a departure; if it restarted again before it was linked, nobody knew of the departure, and a late heartbeat made the upstream ready.

A node now answers 503 to a departure until it has been linked to a peer, or has waited for links as long as it does before it is ready, or 2.5 s. Both new tests; test_departure_is_not_acknowledged_before_a_peer_can_remember_it failed before (200).

--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -22,7 +22,14 @@
 from balsamhead.mesh._traffic_split import TrafficSplit
 from balsamhead.mesh._upstream import LocalUpstream
 from balsamhead.mesh._upstream_index import UpstreamIndex
-from balsamhead.mesh.model import Limits, NodeRecord, OperatorState, UpstreamNotice
+from balsamhead.mesh.model import (
+    Limits,
+    NodeRecord,
+    OperatorState,
+    UpstreamNotice,
+    UpstreamRecord,
+    UpstreamState,
+)
 from balsamhead.platform.headers import DROPPED_REQUEST_HEADERS
 from balsamhead.platform.messages import (
     decode_heartbeat,
@@ -51,6 +58,8 @@
 _REGISTRATION_SPREAD_S: Final = 1.0
 #: longest time that readiness waits for links to the known nodes, in s
 _READY_LINK_TIMEOUT_S: Final = 0.8
+#: longest time after its start that a node waits for links before it acknowledges a departure, in s
+_MAX_JOIN_S: Final = 2.5
 #: shortest time that a stopping node keeps its caller port open, in s
 _MIN_DRAIN_S: Final = 2.4
 #: fraction of the stop deadline after which new requests are refused, so that accepted ones can
@@ -161,7 +170,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         #: era of the store in which this node is registered; -1 while it is being registered
         self._registered_era = -1
-        self._was_ready = False
+        self._started_at = self._loop.time()
+        self._joined = False
         self._slot_usage_due_at = 0.0
         self._timers: list[asyncio.TimerHandle] = []
 
@@ -391,13 +401,18 @@
     def _is_ready(self) -> bool:
         if self._stopping or self._sync.state.config is None:
             return False
-        if not self._was_ready:
-            deadline = self._links_deadline
+        return self._has_joined()
+
+    def _has_joined(self) -> bool:
+        """Return whether this node has been linked to a peer, or has waited for links enough."""
+        if not self._joined:
+            now, deadline = self._loop.time(), self._links_deadline
             linked = deadline > 0.0 and (
-                self._link_manager.count_pending_links() == 0 or self._loop.time() >= deadline
+                self._link_manager.count_pending_links() == 0 or now >= deadline
             )
-            self._was_ready = linked or bool(self._link_manager.list_live())
-        return self._was_ready
+            waited = now - self._started_at >= _MAX_JOIN_S
+            self._joined = linked or waited or bool(self._link_manager.list_live())
+        return self._joined
 
     async def _handle_ready(self, request: Request) -> Reply:
         del request
@@ -412,14 +427,21 @@
         upstream_id = parse_announcement_path(head.path)
         if upstream_id is None:
             return Reply(404)
-        if head.method == "DELETE":
-            self._local_upstream.deregister(upstream_id)
-        else:
+        record: UpstreamRecord | None = None
+        if head.method != "DELETE":
             try:
                 record = decode_heartbeat(upstream_id, request.body)
             except MalformedMessageError as exc:
                 logger.warning("announcement-malformed", extra={"error": str(exc)})
                 return Reply(400)
+        leaving = record is None or record.state is UpstreamState.DRAINING
+        if leaving and not self._has_joined():
+            # no peer would remember the departure if this node restarted
+            logger.info("departure-not-acknowledged", extra={"upstream": upstream_id})
+            return Reply(503)
+        if record is None:
+            self._local_upstream.deregister(upstream_id)
+        else:
             self._local_upstream.apply_announcement(record)
         return Reply(200, encode_heartbeat_response(), b"Content-Type: application/json\r\n")
 
--- a/tests/test_mesh/test_departures.py
+++ b/tests/test_mesh/test_departures.py
@@ -99,3 +99,45 @@
         assert await count_arrivals(cluster, send_request) == 0
 
     run_virtual(main)
+
+
+# DRAIN: a node that restarted twice before it was linked forgot an acknowledged departure.
+def test_departure_is_not_acknowledged_before_a_peer_can_remember_it() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster()
+        upstream = cluster.members[1].upstream
+        assert upstream._announcing is not None
+        upstream._announcing.cancel()
+        cluster.kill(1)
+        await asyncio.sleep(1.0)
+        cluster.network.hold("10.0.0.1")
+        await cluster.add(NODE_1, upstream=upstream)
+        await asyncio.sleep(0.2)
+        upstream.state = "draining"
+        assert (await upstream.announce()).status == 503
+        assert (await upstream.leave()).status == 503
+        cluster.network.release()
+        await asyncio.sleep(1.5)
+        assert (await upstream.announce()).status == 200
+        await restart_node(cluster, announcing=False)
+        upstream.state = "ready"
+        upstream.sequence -= 1
+        await upstream.announce()
+        assert await count_arrivals(cluster, send_request) == 0
+
+    run_virtual(main)
+
+
+def test_node_without_peers_acknowledges_a_departure_in_time() -> None:
+    async def main() -> None:
+        cluster = InMemoryCluster()
+        await cluster.start(NODE_1)
+        upstream = cluster.members[1].upstream
+        cluster.kill(1)
+        await asyncio.sleep(1.0)
+        cluster.network.hold("10.0.0.1")
+        await cluster.add(NODE_1, upstream=upstream)
+        await asyncio.sleep(2.6)
+        assert (await upstream.leave()).status == 200
+
+    run_virtual(main)
