Ignore a late announcement of an incarnation that peers know to be over

After a restart a node took a late heartbeat of its upstream's earlier incarnation for the newest, as it had forgotten the later one; its peers returned the notice of the later one, but only its limit was used. An announcement from before the incarnation of that notice is now ignored. The new test failed before (12 requests were sent on that announcement).

--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -119,6 +119,8 @@
         key = (record.id, record.started_at_ms)
         if record.service != self._service or self._departures.is_outdated(record):
             return False
+        if self._precedes_recalled(record):
+            return False
         if current is not None and (record.started_at_ms, record.sequence) <= (
             current.started_at_ms,
             current.sequence,
@@ -183,9 +185,15 @@
         if current is None:
             return
         self._adopt_recalled_limit(current)
+        if self._precedes_recalled(current):
+            self._departures.add(current)
         if self._departures.has_left(current):
             self._remove(current, extra={"source": "peer"})
 
+    def _precedes_recalled(self, record: UpstreamRecord) -> bool:
+        """Return whether a peer knows a later incarnation than that of a record."""
+        return self._recalled is not None and record.started_at_ms < self._recalled.started_at_ms
+
     def _adopt_recalled_limit(self, record: UpstreamRecord) -> None:
         """Use the limit that a peer has kept until the upstream's first response."""
         recalled = self._recalled
--- a/tests/test_mesh/test_departures.py
+++ b/tests/test_mesh/test_departures.py
@@ -141,3 +141,21 @@
         assert (await upstream.leave()).status == 200
 
     run_virtual(main)
+
+
+# A late heartbeat of an earlier incarnation, after the restart of its node, revived that one.
+def test_late_heartbeat_of_an_earlier_incarnation_revives_nothing_after_a_restart() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster()
+        upstream = cluster.members[1].upstream
+        upstream.born += 1000
+        await upstream.announce()
+        upstream.born -= 1000
+        await restart_node(cluster, announcing=False)
+        await upstream.announce()
+        assert await count_arrivals(cluster, send_request) == 0
+        upstream.born += 1000
+        await upstream.announce()
+        assert await count_arrivals(cluster, send_request) > 0
+
+    run_virtual(main)
