Refuse requests that crash upstreams, on all nodes

Each crash also failed what else was running.

Cause: the mesh path judged each attempt by itself; nothing related a crash to the requests that were running. The first path has had such a guard from the start.

Change: the upstream's node, the only way to its upstream, reports what was running in a crash to all peers, and all known crashes on each new link.

--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -40,6 +40,9 @@
     UPSTREAM_NOTICE = 6
     # last notice of the receiver's own upstream, for a receiver that has restarted
     UPSTREAM_RECALL = 7
+    # requests that were running when upstreams crashed, and those that were completed since
+    CRASHES = 8
+    CRASHES_CLEARED = 9
     # calls and their outcomes; CREDIT enlarges the send window of a response
     CALL = 10
     CALL_BODY = 11
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -10,6 +10,8 @@
 
 from balsamhead.errors import LogError, MalformedMessageError
 from balsamhead.mesh._budget import RetryBudget
+from balsamhead.mesh._crash_exchange import CrashExchange
+from balsamhead.mesh._crash_registry import CrashRegistry
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header
 from balsamhead.mesh._link_manager import LinkManager, PeerEventHandler
 from balsamhead.mesh._metrics import MeshMetrics
@@ -110,6 +112,7 @@
         )
         self._traffic_split = TrafficSplit()
         self._metrics = MeshMetrics()
+        self._crash_registry = CrashRegistry(cfg.node)
         self._local_upstream = LocalUpstream(
             address=cfg.upstream_address,
             service=cfg.service,
@@ -117,8 +120,10 @@
             on_change=self._upstream_changed,
             on_result=lambda result: self._rollouts.add_result(result),
             metrics=self._metrics,
+            crash_registry=self._crash_registry,
         )
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
+        self._crash_exchange = CrashExchange(self._crash_registry, link_manager=self._link_manager)
         self._budget = RetryBudget(
             ratio=cfg.retry_ratio, slack=cfg.retry_slack, window_s=cfg.retry_window
         )
@@ -131,6 +136,7 @@
             upstream_index=UpstreamIndex(
                 cfg, link_manager=self._link_manager, local=self._local_upstream, rng=rng
             ),
+            crash_registry=self._crash_registry,
             metrics=self._metrics,
             rng=rng,
         )
@@ -296,6 +302,7 @@
             self._upstream_changed()
         self._rollouts.report_evidence()
         self._rollouts.advance(self._sync.state.orders.values())
+        self._crash_registry.expire(self._loop.time())
         if self._loop.time() >= self._slot_usage_due_at:
             self._slot_usage_due_at = self._loop.time() + _SLOT_USAGE_INTERVAL_S
             self._local_upstream.log_slot_usage()
@@ -362,6 +369,7 @@
             link.send(FrameKind.UPSTREAM_NOTICE, 0, self._announced_notice)
         if peer.notice is not None:
             link.send(FrameKind.UPSTREAM_RECALL, 0, peer.notice)
+        self._crash_exchange.send_known(link)
 
     def peer_state_received(self, peer: Peer, link: Link) -> None:
         """Request the operator's state if the peer's is newer; send the rollouts if they differ."""
@@ -384,6 +392,10 @@
                 self._rollouts.handle_state(frame, link)
             case FrameKind.EVIDENCE:
                 self._rollouts.handle_evidence(frame, link)
+            case FrameKind.CRASHES:
+                self._crash_exchange.handle_crashes(link, frame)
+            case FrameKind.CRASHES_CLEARED:
+                self._crash_exchange.handle_cleared(link, frame)
             case FrameKind.UPSTREAM_RECALL:
                 notice = decode_header(frame, UpstreamNotice, peer=link.peer)
                 self._local_upstream.recall_notice(notice)
@@ -451,6 +463,10 @@
         register_gauge("store_era", lambda: {"": self._store.era})
         register_gauge("requests_running", lambda: {"": self._local_upstream.running})
         register_gauge("requests_waiting", lambda: {"": self._local_upstream.get_load().waiting})
+        register_gauge("requests_suspected", lambda: {"": len(self._crash_registry)})
+        register_gauge(
+            "requests_refused_for_crashes", lambda: {"": self._crash_registry.count_refused()}
+        )
         register_gauge("links_live", lambda: {"": len(self._link_manager.list_live())})
         register_gauge("store_calls", lambda: {key[1:]: n for key, n in self._store.calls.items()})
 
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from balsamhead.mesh._calls import Call, Outcome, OutcomeUnknown, Refused, UpstreamResponse
+from balsamhead.mesh._crash_registry import CRASHING_REQUEST, compute_fingerprint
 from balsamhead.mesh._fairness import PriorityFairness
 from balsamhead.mesh._prior_attempts import PriorAttemptTime
 from balsamhead.mesh._queue_timeout import compute_max_wait, compute_queue_timeout
@@ -22,6 +23,7 @@
     import random
 
     from balsamhead.mesh._budget import RetryBudget
+    from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._link_manager import LinkManager
     from balsamhead.mesh._metrics import MeshMetrics
     from balsamhead.mesh._settings import MeshSettings
@@ -77,6 +79,7 @@
         budget: RetryBudget,
         traffic_split: TrafficSplit,
         upstream_index: UpstreamIndex,
+        crash_registry: CrashRegistry,
         metrics: MeshMetrics,
         rng: random.Random,
     ) -> None:
@@ -86,6 +89,7 @@
         self._budget = budget
         self._traffic_split = traffic_split
         self._upstream_index = upstream_index
+        self._crash_registry = crash_registry
         self._metrics = metrics
         self._rng = rng
         self._loop = asyncio.get_running_loop()
@@ -131,6 +135,9 @@
             self._metrics.count("requests_unrouted")
             return Reply(404)
         trace.route = route.name
+        refusal_s = self._get_crash_refusal_time(request, route)
+        if refusal_s:
+            return self._refuse(trace, CRASHING_REQUEST, refusal_s)
         deadline_ms = caller_headers.deadline_ms
         caller_timeout_s = (_DEFAULT_DEADLINE_MS if deadline_ms is None else deadline_ms) / 1000
         deadline = request.received_at + min(caller_timeout_s, route.timeout_s)
@@ -209,11 +216,13 @@
             code = outcome.code
             if isinstance(outcome, Refused):
                 retry_after_s = outcome.retry_after_s or retry_after_s
+                if code == CRASHING_REQUEST:
+                    break
                 continue
             trace.deliveries += 1
             if isinstance(outcome, OutcomeUnknown):
                 trace.may_have_run = True
-            if not self._may_retry(outcome, route, service, trace):
+            if not self._may_retry(outcome, request, route, service, trace):
                 break
         if failed_response is not None:
             return self._deliver(request, route, failed_response, trace)
@@ -221,9 +230,13 @@
             return self._fail(trace, code, 504 if code == "deadline-passed" else 502)
         return self._refuse(trace, code, retry_after_s)
 
-    def _may_retry(self, outcome: Outcome, route: Route, service: str, trace: RequestTrace) -> bool:
+    def _may_retry(
+        self, outcome: Outcome, request: Request, route: Route, service: str, trace: RequestTrace
+    ) -> bool:
         if isinstance(outcome, OutcomeUnknown) and (
-            route.kind is RouteKind.ONCE or outcome.code == "deadline-passed"
+            route.kind is RouteKind.ONCE
+            or outcome.code == "deadline-passed"
+            or self._is_suspected(request, route)
         ):
             return False
         if trace.deliveries >= route.max_attempts:
@@ -256,6 +269,28 @@
             service, self._loop.time(), fraction=_FAILED_RESPONSE_FRACTION
         )
 
+    # -- requests that crash upstreams -------------------------------------------------------
+
+    def _get_crash_refusal_time(self, request: Request, route: Route) -> float:
+        if not self._crash_registry:
+            return 0.0
+        fingerprint = self._compute_fingerprint(request, route)
+        return self._crash_registry.get_refusal_time(fingerprint, self._loop.time())
+
+    def _is_suspected(self, request: Request, route: Route) -> bool:
+        return bool(self._crash_registry) and self._crash_registry.is_suspected(
+            self._compute_fingerprint(request, route)
+        )
+
+    def _compute_fingerprint(self, request: Request, route: Route) -> bytes:
+        return compute_fingerprint(
+            caller_service=self._cfg.service,
+            method=request.head.method,
+            route=route.name,
+            target=request.head.target,
+            body=request.body,
+        )
+
     # -- selection ---------------------------------------------------------------------------
 
     def _select(
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -18,6 +18,7 @@
 )
 from balsamhead.mesh._connection_pool import ConnectionPool
 from balsamhead.mesh._crash_detector import CrashDetector, RunningRequest
+from balsamhead.mesh._crash_registry import CRASHING_REQUEST, fingerprint_call
 from balsamhead.mesh._departures import Departures
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
@@ -26,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._metrics import MeshMetrics
     from balsamhead.mesh._upstream_connection import UpstreamConnection
 
@@ -78,6 +80,7 @@
         on_change: Callable[[], None],
         on_result: Callable[[CallResult], None],
         metrics: MeshMetrics,
+        crash_registry: CrashRegistry,
     ) -> None:
         self._connections = ConnectionPool(address)
         self._service = service
@@ -85,6 +88,7 @@
         self._on_change = on_change
         self._on_result = on_result
         self._metrics = metrics
+        self._crash_registry = crash_registry
         self._loop = asyncio.get_running_loop()
         self._slots = SlotQueue(count_slots=self._count_slots, metrics=metrics)
         self._announced_at = 0.0
@@ -286,7 +290,7 @@
     async def run(self, call: Call, body: bytes) -> Outcome:
         """Run a request on the upstream, or refuse it without running it."""
         deadline = self._loop.time() + call.remaining_ms / 1000
-        refusal = self._check_admission(call)
+        refusal = self._check_admission(call) or self._check_crashes(call, body)
         if refusal is not None:
             return refusal
         if self._slots.has_free_slot():
@@ -318,6 +322,18 @@
             return self._refuse("upstream-busy")
         return None
 
+    def _check_crashes(self, call: Call, body: bytes) -> Refused | None:
+        if not self._crash_registry:
+            return None
+        fingerprint = fingerprint_call(call, body)
+        refusal_s = self._crash_registry.get_refusal_time(fingerprint, self._loop.time())
+        return Refused(CRASHING_REQUEST, refusal_s, self.get_load()) if refusal_s else None
+
+    def _is_suspected(self, call: Call, body: bytes) -> bool:
+        return bool(self._crash_registry) and self._crash_registry.is_suspected(
+            fingerprint_call(call, body)
+        )
+
     def _estimate_wait(self, ahead: int) -> float:
         """Return the expected wait of a request for a slot behind others, in ms."""
         slots = self.record.slots if self.record else 1
@@ -375,16 +391,23 @@
         if remaining_s <= 0:
             self._connections.release(conn)
             return self._refuse("deadline-passed")
+        refusal = self._check_crashes(call, body)
+        if refusal is not None:
+            self._connections.release(conn)
+            return refusal
 
         timer = self._loop.call_at(deadline, conn.cancel, call, "deadline-passed")
 
-        running = self._crash_detector.start(call, body)
+        repeated = self._is_suspected(call, body)
+        running = self._crash_detector.start(call, body, repeated=repeated)
 
         def finish(outcome: Outcome) -> None:
             timer.cancel()
             self._connections.release(conn)
             slot_hold.release()
             self._crash_detector.finish(running, outcome)
+            if isinstance(outcome, UpstreamResponse) and outcome.status < 500:
+                self._record_completion(call, body)
 
         future = conn.send(
             call,
@@ -454,6 +477,11 @@
                 "requests": [row.call.request_id.decode("latin-1") for row in requests],
             },
         )
+        self._crash_registry.record_crash(requests, record.started_at_ms, self._loop.time())
+
+    def _record_completion(self, call: Call, body: bytes) -> None:
+        if self._crash_registry:
+            self._crash_registry.record_completion(fingerprint_call(call, body))
 
     def _mark_unavailable(self, exc: OSError) -> None:
         logger.warning("upstream-unreachable", extra={"error": repr(exc)})
--- a/balsamhead/util/suspects.py
+++ b/balsamhead/util/suspects.py
@@ -86,16 +86,20 @@
             del suspect.crashes[next(iter(suspect.crashes))]
         suspect.crashes[crash] = None
         suspect.updated_at = now
-        if suspect.refused_until or not (
-            suspect.refusal_count or self._is_conclusive(suspect.crashes.keys())
-        ):
+        if now < suspect.refused_until:
+            # nodes end a refusal at slightly different times, so the next one may have begun
+            suspect.refused_until = now + self._get_duration(suspect.refusal_count - 1)
             return 0.0
-        factor = 2.0 ** min(suspect.refusal_count, 10)
-        duration_s = min(_MAX_REFUSAL_S, self._initial_refusal_s * factor)
+        if not suspect.refusal_count and not self._is_conclusive(suspect.crashes.keys()):
+            return 0.0
+        duration_s = self._get_duration(suspect.refusal_count)
         suspect.refused_until = now + duration_s
         suspect.refusal_count += 1
         return duration_s
 
+    def _get_duration(self, earlier_refusals: int) -> float:
+        return min(_MAX_REFUSAL_S, self._initial_refusal_s * 2.0 ** min(earlier_refusals, 10))
+
     def discard(self, fingerprint: bytes, crashes: Iterable[C]) -> bool:
         """Discard crashes of a fingerprint; return whether none is left."""
         suspect = self._suspects.get(fingerprint)
--- a/tests/test_mesh/test_departure_machine.py
+++ b/tests/test_mesh/test_departure_machine.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from balsamhead.mesh._crash_registry import CrashRegistry
 from balsamhead.mesh._metrics import MeshMetrics
 from balsamhead.mesh._peers import Peer, UpstreamView
 from balsamhead.mesh._upstream import LocalUpstream
@@ -44,6 +45,7 @@
             on_change=lambda: None,
             on_result=lambda result: None,
             metrics=MeshMetrics(),
+            crash_registry=CrashRegistry("node-1"),
         )
 
     def run(self, coro: Coroutine[Any, Any, Any]) -> Any:
--- a/tests/test_mesh/test_upstream_machine.py
+++ b/tests/test_mesh/test_upstream_machine.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from balsamhead.mesh._calls import Call, Refused
+from balsamhead.mesh._crash_registry import CrashRegistry
 from balsamhead.mesh._metrics import MeshMetrics
 from balsamhead.mesh._upstream import CallResult, LocalUpstream
 from balsamhead.mesh.model import RouteKind, UpstreamRecord, UpstreamState
@@ -39,6 +40,7 @@
             on_change=lambda: None,
             on_result=self.results.append,
             metrics=MeshMetrics(),
+            crash_registry=CrashRegistry("node-1"),
         )
 
     def run(self, coro: Coroutine[Any, Any, Any]) -> Any:
