Reject durations of more digits than a number can hold

A duration of 400 digits was decoded as infinite, so a heartbeat or an order with it was taken. It now has 12 digits at most before and after the point; digits of other scripts are no longer taken either.

--- a/balsamhead/util/times.py
+++ b/balsamhead/util/times.py
@@ -9,7 +9,7 @@
 __all__ = ("DURATION_PATTERN", "parse_duration", "render_time")
 
 #: regular expression of a duration: a number and its unit, such as "1500ms" or "2.5s"
-DURATION_PATTERN: Final = r"(\d+(?:\.\d+)?)(ms|s)"
+DURATION_PATTERN: Final = r"([0-9]{1,12}(?:\.[0-9]{1,12})?)(ms|s)"
 
 
 def parse_duration(text: str) -> float:
--- a/tests/test_platform/test_messages.py
+++ b/tests/test_platform/test_messages.py
@@ -39,6 +39,15 @@
     assert parse_duration(text) == seconds
 
 
+# A duration of 400 digits was taken for an infinite one.
+@pytest.mark.parametrize(
+    "text", ["9" * 400 + "s", "1." + "9" * 400 + "s", "-1s", "1e3s", "\u0661s"]
+)
+def test_duration_out_of_range_is_rejected(text: str) -> None:
+    with pytest.raises(ValueError, match="is not a duration"):
+        parse_duration(text)
+
+
 @pytest.mark.parametrize("text", ["", "5", "5m", "-1s", "1 s", "sms"])
 def test_malformed_durations_are_rejected(text: str) -> None:
     with pytest.raises(ValueError, match="is not a duration"):
