Check addresses, numbers and ids of other writers where they are decoded

A node's record or a hello with port 99999, -4 or none was taken, and each dial raised an error that nobody handled: the peer was never backed off. A heartbeat with a sequence of 10**40 hid all later ones of its upstream; an id that no header can hold failed each request.

CBOR is decoded in one place (util/codec.py), so that records of nodes and deltas get the same handling of nesting; the store's client handles it in JSON, too.

--- a/balsamhead/mesh/_connection_pool.py
+++ b/balsamhead/mesh/_connection_pool.py
@@ -9,6 +9,7 @@
 from balsamhead.mesh._crash_detector import ProbeResult
 from balsamhead.mesh._upstream_connection import UpstreamConnection
 from balsamhead.mesh.model import RouteKind
+from balsamhead.util.addresses import parse_address
 
 __all__ = ("ConnectionPool",)
 
@@ -23,8 +24,7 @@
     """Idle connections to one address, the most recently used first."""
 
     def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._host, self._port = host, int(port)
+        self._host, self._port = parse_address(address)
         self._loop = asyncio.get_running_loop()
         self._idle: list[UpstreamConnection] = []
         self._connections: weakref.WeakSet[UpstreamConnection] = weakref.WeakSet()
--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from balsamhead.errors import MalformedMessageError
+from balsamhead.util import codec
 
 __all__ = (
     "MAX_FRAME_BYTES",
@@ -82,14 +83,7 @@
 
     :raises MalformedMessageError: the header is not CBOR or does not match the type.
     """
-    try:
-        return msgspec.convert(cbor2.loads(frame.header), kind, builtin_types=(bytes,))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, RecursionError) as exc:
-        raise MalformedMessageError(
-            f"cannot decode header of frame kind {frame.kind}: {exc}",
-            step="decode-frame",
-            peer=peer,
-        ) from exc
+    return codec.decode(frame.header, kind, step="decode-frame", peer=peer)
 
 
 def extract_frames(buffer: bytearray) -> list[Frame]:
--- a/balsamhead/mesh/_link_manager.py
+++ b/balsamhead/mesh/_link_manager.py
@@ -6,12 +6,13 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from balsamhead.errors import BalsamheadError
+from balsamhead.errors import BalsamheadError, MalformedMessageError
 from balsamhead.mesh._flow_control import InFlightLimit
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header, encode_frame
 from balsamhead.mesh._link import Link
 from balsamhead.mesh._peers import Heartbeat, Hello, Peer, PeerTable, UpstreamView
 from balsamhead.mesh.model import Load, NodeRecord, UpstreamNotice
+from balsamhead.util.addresses import parse_address
 
 if TYPE_CHECKING:
     import random
@@ -102,11 +103,11 @@
 
         :raises OSError: the address can't be bound.
         """
-        host, _, port = self._own_record.address.rpartition(":")
+        address = parse_address(self._own_record.address)
         self._server = await self._loop.create_server(
             lambda: self._make_link(dialled=False),
-            host,
-            int(port),
+            address.host,
+            address.port,
             backlog=1024,
             reuse_address=True,
         )
@@ -233,13 +234,13 @@
         task.add_done_callback(self._dials.discard)
 
     async def _connect(self, peer: Peer) -> None:
-        host, _, port = peer.record.address.rpartition(":")
         try:
+            address = parse_address(peer.record.address)
             async with asyncio.timeout(_DIAL_TIMEOUT_S):
                 _, link = await self._loop.create_connection(
-                    lambda: self._make_link(dialled=True), host, int(port)
+                    lambda: self._make_link(dialled=True), address.host, address.port
                 )
-        except OSError as exc:
+        except (OSError, ValueError) as exc:
             self._handle_failed_dial(peer, exc)
         else:
             link.peer = peer.record.name
@@ -249,7 +250,7 @@
         finally:
             peer.dialling = False
 
-    def _handle_failed_dial(self, peer: Peer, exc: OSError) -> None:
+    def _handle_failed_dial(self, peer: Peer, exc: OSError | ValueError) -> None:
         peer.failed_dials += 1
         backoff_s = min(_MAX_BACKOFF_S, _INITIAL_BACKOFF_S * 2 ** min(10, peer.failed_dials - 1))
         peer.dial_at = self._loop.time() + backoff_s * (0.5 + self._rng.random())
@@ -344,6 +345,12 @@
         return self._handler.run_call(call, body)
 
     def _handle_hello(self, link: Link, hello: Hello) -> None:
+        try:
+            hello.node.check()
+        except ValueError as exc:
+            raise MalformedMessageError(
+                f"hello names no node: {exc}", step="take-hello", peer=link.peer
+            ) from exc
         current = self.table.peers.get(hello.node.name)
         if current is None or hello.node.incarnation >= current.record.incarnation:
             peer = self.table.add(hello.node)
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+from balsamhead.util.addresses import parse_address
 
 __all__ = (
+    "MAX_INTEGER",
     "Config",
     "Limits",
     "Load",
@@ -23,6 +26,10 @@
 )
 
 
+#: largest number in a record that another process has written
+MAX_INTEGER: Final = (1 << 63) - 1
+
+
 class RouteKind(StrEnum):
     """Kind of a route, which determines whether its requests may be retried."""
 
@@ -172,6 +179,16 @@
     region: str
     service: str
 
+    def check(self) -> None:
+        """Check that the record names a node that can be dialled.
+
+        :raises ValueError: the name is empty, the address is malformed, or the incarnation is out
+            of range.
+        """
+        parse_address(self.address)
+        if not self.name or not 0 <= self.incarnation <= MAX_INTEGER:
+            raise ValueError("empty name, or incarnation out of range")
+
 
 class Phase(StrEnum):
     """Phase of a rollout."""
--- a/balsamhead/mesh/_server.py
+++ b/balsamhead/mesh/_server.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final, NamedTuple, cast
 
 from balsamhead.mesh._calls import BodyPipe, ResponseTruncatedError
+from balsamhead.util.addresses import parse_address
 from balsamhead.util.http1 import (
     CHUNKED,
     BodyDecoder,
@@ -95,10 +96,10 @@
 
         :raises OSError: the address can't be bound.
         """
-        host, _, port = address.rpartition(":")
+        host, port = parse_address(address)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), host, int(port), backlog=1024, reuse_address=True
+            lambda: _Connection(self), host, port, backlog=1024, reuse_address=True
         )
         self._check_timeouts()
 
--- a/balsamhead/mesh/_state_history.py
+++ b/balsamhead/mesh/_state_history.py
@@ -11,6 +11,7 @@
 
 from balsamhead.errors import MalformedMessageError
 from balsamhead.mesh.model import Config, Limits, OperatorState, Order, Route
+from balsamhead.util import codec
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -122,16 +123,20 @@
 
     :raises MalformedMessageError: the data is truncated, too large or does not match the type.
     """
+    decompressor = zlib.decompressobj()
     try:
-        decompressor = zlib.decompressobj()
         decompressed = decompressor.decompress(data, _MAX_DELTA_BYTES)
-        if not decompressor.eof:
-            raise ValueError("truncated, or too large when decompressed")
-        return msgspec.convert(cbor2.loads(decompressed), StateDelta)
-    except (zlib.error, cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as exc:
-        raise MalformedMessageError(
-            f"cannot decode state delta: {exc}", step="decode-change", peer=peer
-        ) from exc
+    except zlib.error as exc:
+        raise _make_delta_error(exc, peer) from exc
+    if not decompressor.eof:
+        raise _make_delta_error("truncated, or too large when decompressed", peer)
+    return codec.decode(decompressed, StateDelta, step="decode-change", peer=peer)
+
+
+def _make_delta_error(cause: object, peer: str) -> MalformedMessageError:
+    return MalformedMessageError(
+        f"cannot decode state delta: {cause}", step="decode-change", peer=peer
+    )
 
 
 def _compute_delta(base: int, base_config: Config, state: OperatorState) -> StateDelta:
--- a/balsamhead/mesh/model.py
+++ b/balsamhead/mesh/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from balsamhead.mesh._model import (
+    MAX_INTEGER,
     Config,
     Limits,
     Load,
@@ -20,6 +21,7 @@
 )
 
 __all__ = (
+    "MAX_INTEGER",
     "Config",
     "Limits",
     "Load",
--- a/balsamhead/platform/messages.py
+++ b/balsamhead/platform/messages.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Final
+import re
+from typing import Annotated, Final
 
 import msgspec
 
 from balsamhead.errors import MalformedMessageError
 from balsamhead.mesh.model import (
+    MAX_INTEGER,
     Config,
     Limits,
     Order,
@@ -19,6 +21,7 @@
     UpstreamState,
     WeightedService,
 )
+from balsamhead.util.addresses import parse_address
 from balsamhead.util.times import parse_duration
 
 __all__ = (
@@ -50,8 +53,11 @@
     Phase.COMPLETED: "completed",
     Phase.ROLLED_BACK: "rolled_back",
 }
-#: maximum number of slots that an upstream may announce
-_MAX_SLOTS: Final = 10_000
+#: number of slots that an upstream may announce
+_SlotCount = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+_Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+#: id of an upstream: it stands in a header of each request
+_UPSTREAM_ID: Final = re.compile(r"[!-~]{1,128}")
 
 
 class _Backend(msgspec.Struct):
@@ -102,10 +108,10 @@
     service: str
     address: str
     version: str
-    slots: int
+    slots: _SlotCount
     state: str
-    sequence: int
-    born: int
+    sequence: _Integer
+    born: _Integer
     cold_left: str = "0ms"
 
 
@@ -146,19 +152,18 @@
 def decode_heartbeat(upstream_id: str, data: bytes) -> UpstreamRecord:
     """Decode the heartbeat of an upstream.
 
-    :raises MalformedMessageError: the data can't be decoded, the id is empty, or the state or the
-        number of slots is invalid.
+    :raises MalformedMessageError: the data can't be decoded, the id can't stand in a header, or
+        the state, the address or a number is invalid.
     """
     try:
         raw = msgspec.json.decode(data, type=_Heartbeat)
         state = UpstreamState(raw.state)
         slow_start_s = parse_duration(raw.cold_left)
+        parse_address(raw.address)
     except (msgspec.DecodeError, ValueError, RecursionError) as exc:
         raise _make_malformed_error("decode-heartbeat", exc) from exc
-    if not 0 < raw.slots <= _MAX_SLOTS or not upstream_id:
-        raise _make_malformed_error(
-            "decode-heartbeat", f"empty id, or number of slots out of range: {raw.slots}"
-        )
+    if not _UPSTREAM_ID.fullmatch(upstream_id):
+        raise _make_malformed_error("decode-heartbeat", "the id can't stand in a header")
     return UpstreamRecord(
         id=upstream_id,
         service=raw.service,
--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -21,6 +21,7 @@
     decode_rollout_status,
     encode_rollout_status,
 )
+from balsamhead.util import codec
 from balsamhead.util.positions import get_era, get_offset, make_position
 
 if TYPE_CHECKING:
@@ -35,6 +36,8 @@
 _OPERATOR_TOPIC: Final = "keyed.op"
 _STATUS_TOPIC: Final = "keyed.status"
 _NODES_TOPIC: Final = "keyed.nodes"
+#: largest record of a node that is decoded, in bytes; decoding a large one takes long
+_MAX_NODE_BYTES: Final = 4096
 
 
 class PlatformRecords:
@@ -113,8 +116,8 @@
         nodes = []
         for record in newest.records:
             try:
-                nodes.append(msgspec.convert(cbor2.loads(record.value), NodeRecord))
-            except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as exc:
+                nodes.append(_decode_node(record))
+            except MalformedMessageError as exc:
                 logger.warning(
                     "node-record-malformed", extra={"key": record.key, "error": str(exc)}
                 )
@@ -208,3 +211,16 @@
     if newest is not None and (config is None or newest.version >= config.version):
         config = newest
     return OperatorState(position, config, orders)
+
+
+def _decode_node(record: KeyedRecord) -> NodeRecord:
+    if len(record.value) > _MAX_NODE_BYTES:
+        raise MalformedMessageError("record is too large", step="decode-node")
+    node = codec.decode(record.value, NodeRecord, step="decode-node")
+    try:
+        node.check()
+    except ValueError as exc:
+        raise MalformedMessageError(f"node can't be dialled: {exc}", step="decode-node") from exc
+    if node.name != record.key:
+        raise MalformedMessageError(f"record is of node {node.name[:80]!r}", step="decode-node")
+    return node
--- a/balsamhead/platform/store.py
+++ b/balsamhead/platform/store.py
@@ -17,6 +17,7 @@
     LogOutcomeUnknownError,
     LogUnavailableError,
 )
+from balsamhead.util.addresses import parse_address
 from balsamhead.util.http1 import (
     CONNECTION_HEADERS,
     UNTIL_CLOSE,
@@ -114,8 +115,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._host, self._port = host, int(port)
+        self._host, self._port = parse_address(address)
         self._address = address
         #: number of requests sent, by path
         self.calls: dict[str, int] = {}
@@ -217,7 +217,7 @@
     def _decode_json(self, body: bytes, response_type: type[T], step: str) -> T:
         try:
             return msgspec.json.decode(body, type=response_type)
-        except (msgspec.DecodeError, ValueError) as exc:
+        except (msgspec.DecodeError, ValueError, RecursionError) as exc:
             raise self._make_unavailable_error(step, exc) from exc
 
     async def _send_request(
--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -167,7 +167,8 @@
         self._server = HttpServer(self._run, get_limits=lambda: LIMITS)
         await self.start()
 
-    async def announce(self) -> Response:
+    async def announce(self, **changes: object) -> Response:
+        """Announce itself, with some fields changed."""
         self.sequence += 1
         body = {
             "service": self.cfg.service,
@@ -179,6 +180,7 @@
             "cold_left": "0ms",
             "sequence": self.sequence,
             "born": self.born,
+            **changes,
         }
         return await send(
             self.cfg.announce_address, "PUT", f"/instances/{self.id}", json.dumps(body).encode()
