Ask the store again when a response is overdue, and let the readers poll out of step

What callers saw: requests handled by an old version more than 2 s after a new one was acknowledged (CONFIG; seen once, in docs/incidents/lost-response-of-the-store.md). One change ends the long polls of both readers, so a fault of 0.1 s takes both responses, and both noticed it 2.8 s later at worst. That entry's list of what remains had the polls in step; this is the class of its cause: redundancy whose parts fail together.

A reader sends a second read when a response is 0.3 s overdue and takes what comes first (a hedged request); the second reader begins its polls half a period later after a change. The stand-in's fault now takes responses in progress, too, as the platform's does. Four new tests of test_configuration.py failed before (404 2 s after the change; both polls at the same moment).

--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -8,6 +8,7 @@
 
 from balsamhead.errors import BalsamheadError
 from balsamhead.mesh._frames import Frame, FrameKind, encode_frame
+from balsamhead.mesh._hedged_request import send_hedged
 from balsamhead.mesh._peers import Peer, rank_nodes
 from balsamhead.mesh._state_history import StateHistory, decode_delta, encode_delta
 from balsamhead.mesh._state_pull import StatePull
@@ -32,9 +33,14 @@
 STORE_RETRY_DELAY_S: Final = 0.5
 #: number of nodes that read the operator's records from the store
 _READER_COUNT: Final = 2
-#: long-poll time: how long the store waits for new records before it responds, in s; a lost
-#: response goes unnoticed for this, the response timeout and the retry delay together
+#: long-poll time: how long the store waits for new records before it responds, in s
 _LONG_POLL_S: Final = 0.8
+#: time after the end of a long poll at which its response is overdue, so that the store is asked
+#: again, in s
+_OVERDUE_S: Final = 0.3
+#: time by which the second reader begins its long polls later than the first, in s; a change
+#: ends the polls of both
+_READER_OFFSET_S: Final = _LONG_POLL_S / 2
 #: interval at which a node checks whether it has become a reader, in s
 _READER_CHECK_INTERVAL_S: Final = 0.2
 
@@ -74,17 +80,17 @@
         return self._history.offset
 
     def is_reader(self) -> bool:
-        """Return whether this node reads from the store.
+        """Return whether this node reads from the store."""
+        return self._get_reader_rank() < _READER_COUNT
 
-        Readers are chosen by rendezvous hashing among the live nodes that reach the store.
-        """
+    def _get_reader_rank(self) -> int:
+        """Return this node's rank among the live nodes that reach the store, by hashing."""
         names = [
             peer.record.name
             for peer in self._link_manager.list_live()
             if not peer.store_failed and not peer.stopping
         ]
-        ranked = rank_nodes([*names, self._own_name], "readers")
-        return self._own_name in ranked[:_READER_COUNT]
+        return rank_nodes([*names, self._own_name], "readers").index(self._own_name)
 
     def record_store_result(self, exc: BalsamheadError | None) -> None:
         """Record whether the last call to the store failed, and log a change.
@@ -126,9 +132,16 @@
             if state.config is None or unchanged:
                 # a store with stale records responds at once; don't poll it in a busy loop
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
+            elif state.offset > offset and self._get_reader_rank() > 0:
+                await asyncio.sleep(_READER_OFFSET_S)
 
     async def _read(self, wait_s: float) -> OperatorState:
-        state = await self._records.read_operator_state(self.state, wait_s=wait_s)
+        read = self._records.read_operator_state
+        state = await send_hedged(
+            read(self.state, wait_s=wait_s),
+            lambda: read(self.state, wait_s=0.0),
+            delay_s=wait_s + _OVERDUE_S,
+        )
         if state.orders and not self._traffic_split.rollouts:
             for rollout in await self._records.read_rollouts():
                 if rollout.phase is not Phase.RUNNING:
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -31,7 +31,7 @@
     def __init__(self) -> None:
         #: HTTP status of the response to every request; 0 to process requests
         self.status = 0
-        #: requests get no response
+        #: neither new requests nor those in progress get a response
         self.silent = False
         #: number of upcoming appends that are stored but get no response
         self.lost_responses = 0
@@ -80,6 +80,8 @@
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.calls: list[str] = []
+        #: when the reads from an offset began, in s of the loop's clock
+        self.read_times: list[float] = []
         #: number of restorations
         self.era = 0
         self._topics: dict[str, _Partition] = {}
@@ -132,11 +134,16 @@
 
     async def _handle(self, request: Request) -> Reply:
         reply = await self._process(request)
+        if self.faults.silent:
+            # the response is lost, and the connection returns nothing further
+            await asyncio.sleep(3600)
         return reply._replace(headers=reply.headers + b"Store-Era: %d\r\n" % self.era)
 
     async def _process(self, request: Request) -> Reply:
         path = request.head.path
         self.calls.append(path)
+        if path == "/log-read":
+            self.read_times.append(asyncio.get_running_loop().time())
         faults = self.faults
         if faults.silent:
             await asyncio.sleep(3600)
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -17,6 +17,7 @@
         "_calls",
         "_departures",
         "_fairness",
+        "_hedged_request",
         "_metrics",
         "_model",
         "_queue_timeout",
--- a/tests/test_mesh/test_configuration.py
+++ b/tests/test_mesh/test_configuration.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+
+import pytest
 
 from tests.test_mesh.builders import (
     NODE_1,
@@ -66,6 +69,41 @@
     run_virtual(main)
 
 
+# CONFIG: one change ends the polls of both readers, so a short fault takes both responses.
+@pytest.mark.parametrize("delay_s", [0.05, 0.3, 0.7])
+def test_change_whose_response_all_readers_lost_is_in_force_in_time(delay_s: float) -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(*(make_settings(number) for number in range(1, 6)))
+        cluster.store.put("keyed.op", "config", make_config(2))
+        await asyncio.sleep(delay_s)
+        cluster.store.faults.silent = True
+        cluster.store.put("keyed.op", "config", make_config(3, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(0.1)
+        cluster.store.faults.silent = False
+        await asyncio.sleep(1.9)
+        for member in cluster.members.values():
+            assert (await send_request(member.cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
+def test_readers_do_not_poll_in_step_after_a_change() -> None:
+    async def main() -> None:
+        cluster, _ = InMemoryCluster(), RequestSender()
+        await cluster.start(*(make_settings(number) for number in range(1, 6)))
+        cluster.store.put("keyed.op", "config", make_config(2))
+        await asyncio.sleep(0.1)
+        times = cluster.store.read_times
+        times.clear()
+        await asyncio.sleep(2.4)
+        gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+        assert len(times) >= 4
+        assert min(gaps) > 0.3
+
+    run_virtual(main)
+
+
 def test_configuration_change_arrives_while_all_readers_stop() -> None:
     async def main() -> None:
         cluster, send_request = InMemoryCluster(), RequestSender()
