Don't act at once on an order of a new era of the store

Listed as suspected in docs/incidents/config-restored.md, now shown: the earlier order replaced the rollout of the later one, so the later one looked like a new order when it came, and began anew: 16 requests at the bad version in place of 8.

The coordinator waits 1 s before it starts a rollout for an order whose service has a rollout of an earlier era. The later order then continues its rollout as before.

--- a/balsamhead/mesh/_rollouts.py
+++ b/balsamhead/mesh/_rollouts.py
@@ -9,6 +9,7 @@
 from balsamhead.errors import LogConflictError, LogError
 from balsamhead.mesh._evidence import EvidenceRow, VersionComparison
 from balsamhead.mesh.model import Order, Phase, Rollout
+from balsamhead.util.positions import get_era
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterable
@@ -41,6 +42,8 @@
 _MIN_CALLS_PER_STEP: Final = 12
 #: minimum time at the full share before the rollout is completed, in s
 _FULL_SHARE_S: Final = 1.0
+#: time for which an order of a new era of the store is not acted on, in s
+_REWRITE_S: Final = 1.0
 #: delay between attempts to write to the store, in s
 _WRITE_RETRY_S: Final = 0.4
 
@@ -125,7 +128,8 @@
         self.record_order(order)
         rollout = self._traffic_split.rollouts.get(order.service)
         if rollout is None or rollout.order < order.offset:
-            self._start(order)
+            if not self._may_be_superseded(order, rollout):
+                self._start(order)
             return
         if order.service in self._rewrites_due:
             self._rewrites_due.discard(order.service)
@@ -147,6 +151,11 @@
         elif view.new_ready:
             self._raise_share(order, rollout, comparison)
 
+    def _may_be_superseded(self, order: Order, rollout: Rollout | None) -> bool:
+        """Return whether a lost order may have been written again, with a later one to follow."""
+        in_new_era = rollout is not None and get_era(rollout.order) < get_era(order.offset)
+        return in_new_era and self.get_elapsed(order.service) < _REWRITE_S
+
     def _start(self, order: Order) -> None:
         rollout = Rollout(order.service, order.version, order.offset, Phase.RUNNING, 0, 0.0)
         logger.info(
--- a/tests/test_mesh/test_restored_store.py
+++ b/tests/test_mesh/test_restored_store.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Any
 
+import pytest
+
 from standin.platform_store import PlatformStore
 from tests.test_mesh.builders import (
     NODE_1,
@@ -187,3 +189,35 @@
         assert get_status(cluster)["state"] == "rolled_back"
 
     run_virtual(main)
+
+
+# Of two lost orders that were written again, the earlier one replaced the later one's rollout.
+@pytest.mark.parametrize("pause_s", [0.05, 0.25, 0.5])
+def test_rollout_goes_on_when_an_earlier_lost_order_is_written_again_first(pause_s: float) -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(*OLD)
+        topics = cluster.store.copy()
+        earlier, later = (
+            {"service": "desk", "target_version": version, "duration": "16s"}
+            for version in ("v0", "v2")
+        )
+        cluster.store.put("keyed.op", "rollout/desk", earlier)
+        await asyncio.sleep(1.0)
+        cluster.store.put("keyed.op", "rollout/desk", later)
+        new = [await cluster.add(cfg, version="v2") for cfg in NEW]
+        for member in new:
+            member.upstream.service_time_s = 0.8
+        await send_load(send_request, 14.0, [])
+        assert get_status(cluster)["state"] == "rolled_back"
+        await restore(cluster.store, topics)
+        await asyncio.sleep(1.0)
+        before = sum(len(member.upstream.requests) for member in new)
+        cluster.store.put("keyed.op", "rollout/desk", earlier)
+        await asyncio.sleep(pause_s)
+        cluster.store.put("keyed.op", "rollout/desk", later)
+        await send_load(send_request, 8.0, [])
+        assert sum(len(member.upstream.requests) for member in new) == before
+        assert get_status(cluster)["state"] == "rolled_back"
+
+    run_virtual(main)
