--- a/tests/test_mesh/test_restored_store.py
+++ b/tests/test_mesh/test_restored_store.py
@@ -221,3 +221,29 @@
         assert get_status(cluster)["state"] == "rolled_back"
 
     run_virtual(main)
+
+
+# An order that came right after a restoration, at a lower offset than a lost one, was dropped.
+@pytest.mark.parametrize("written_again", [True, False])
+def test_order_right_after_a_restoration_is_followed(written_again: bool) -> None:
+    async def main() -> None:
+        cluster, send_request = InMemoryCluster(), RequestSender()
+        await cluster.start(*OLD)
+        topics = cluster.store.copy()
+        for version in (2, 3, 4):
+            put_config(cluster.store, version, "early")
+        lost = {"service": "desk", "target_version": "v1", "duration": "16s"}
+        cluster.store.put("keyed.op", "rollout/desk", lost)
+        await asyncio.sleep(3.0)
+        await restore(cluster.store, topics)
+        if written_again:
+            cluster.store.put("keyed.op", "rollout/desk", lost)
+        order = {"service": "desk", "target_version": "v2", "duration": "16s"}
+        cluster.store.put("keyed.op", "rollout/desk", order)
+        for cfg in NEW:
+            await cluster.add(cfg, version="v2")
+        await send_load(send_request, 17.0, [])
+        assert get_status(cluster).get("target_version") == "v2"
+        assert get_status(cluster)["state"] == "completed"
+
+    run_virtual(main)
