--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -22,6 +22,7 @@
 from balsamhead.mesh._departures import Departures
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
+from balsamhead.mesh._upstream_statistics import UpstreamStatistics
 from balsamhead.mesh.model import Load, RouteKind, UpstreamNotice, UpstreamRecord, UpstreamState
 
 if TYPE_CHECKING:
@@ -35,12 +36,6 @@
 
 logger = logging.getLogger(__name__)
 
-#: weight of a new sample in the mean time of a request
-_SAMPLE_WEIGHT: Final = 0.05
-#: weight of a new outcome in the failure rate
-_FAILURE_WEIGHT: Final = 0.1
-#: mean time of a request that is assumed before one was measured, in ms
-_DEFAULT_SERVICE_MS: Final = 60.0
 #: how long an upstream is sent no requests after a failed connection or after another instance
 #: responded in its place, in s; a new announcement ends it
 _UNAVAILABLE_S: Final = 1.0
@@ -106,9 +101,7 @@
             on_crash=self._handle_crash,
         )
         self.record: UpstreamRecord | None = None
-        self.service_ms = _DEFAULT_SERVICE_MS
-        self._sample_count = 0
-        self._failure_rate = 0.0
+        self._statistics = UpstreamStatistics()
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
 
@@ -141,9 +134,7 @@
             else:
                 self._crash_detector.confirm_restart()
             self._connections.close_idle()
-            self.service_ms = _DEFAULT_SERVICE_MS
-            self._sample_count = 0
-            self._failure_rate = 0.0
+            self._statistics = UpstreamStatistics()
             self._slots.set_limit(None)
             self._heard_notices = False
             self._adopt_recalled_limit(record)
@@ -237,19 +228,23 @@
         """Return the number of requests that are running."""
         return self._slots.running
 
+    @property
+    def service_ms(self) -> float:
+        """Return the mean time of a request, in ms; a default before one was measured."""
+        return self._statistics.service_ms
+
     def is_in_slow_start(self) -> bool:
         """Return whether the upstream is in slow start."""
         return self._loop.time() < self._slow_start_ends_at
 
     def get_load(self) -> Load:
         """Return the current load of the upstream."""
-        service_ms = self.service_ms if self._sample_count else 0.0
         return Load(
             self.running,
-            service_ms,
+            self._statistics.measured_service_ms,
             tuple(self._slots.count_by_priority().items()),
             self._slots.is_saturated(),
-            round(self._failure_rate, 2),
+            round(self._statistics.failure_rate, 2),
         )
 
     def get_limit_wait(self) -> float:
@@ -452,9 +447,6 @@
         if notices.leaving:
             self._remove(self.record, extra={"request": call.request_id.decode("latin-1")})
 
-    def _update_failure_rate(self, *, failed: bool) -> None:
-        self._failure_rate += _FAILURE_WEIGHT * (failed - self._failure_rate)
-
     def _may_still_send(self, call: Call, record: UpstreamRecord) -> bool:
         return self.accepts_requests() and (not call.version or call.version == record.version)
 
@@ -494,9 +486,7 @@
     ) -> None:
         match outcome:
             case UpstreamResponse(status=status):
-                self._sample_count += 1
-                weight = max(_SAMPLE_WEIGHT, 1.0 / self._sample_count)
-                self.service_ms += weight * (took_ms - self.service_ms)
+                self._statistics.record_time(took_ms)
                 failed = status >= 500
             case OutcomeUnknown(code=code):
                 logger.info(
@@ -514,7 +504,7 @@
                     "exchange-rejected",
                     extra={"id": call.request_id.decode("latin-1"), "code": code},
                 )
-                self._update_failure_rate(failed=True)
+                self._statistics.record_result(failed=True)
                 if code == "upstream-replaced":
                     self._unavailable_until = self._loop.time() + _UNAVAILABLE_S
                     self._on_change()
@@ -522,7 +512,7 @@
             case _:
                 return
         if not isinstance(outcome, OutcomeUnknown) or outcome.code != "caller-left":
-            self._update_failure_rate(failed=failed)
+            self._statistics.record_result(failed=failed)
         in_slow_start = self._loop.time() < self._slow_start_ends_at
         self._on_result(
             CallResult(record.service, record.version, call.route, failed, took_ms, in_slow_start)
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -25,6 +25,7 @@
         "_records",
         "_settings",
         "_slot_usage",
+        "_upstream_statistics",
     ),
     ("model",),
     (
