Repeat only overdue long polls, and one in three seconds

Only long polls are hedged now, one in 3 s. The new test failed before: 15 whole reads of five starting nodes in place of 10.

--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -38,6 +38,9 @@
 #: time after the end of a long poll at which its response is overdue, so that the store is asked
 #: again, in s
 _OVERDUE_S: Final = 0.3
+#: minimum time between two reads that repeat an overdue one, in s; a response may also be late
+#: since the path is full
+_HEDGE_INTERVAL_S: Final = 3.0
 #: time by which the second reader begins its long polls later than the first, in s; a change
 #: ends the polls of both
 _READER_OFFSET_S: Final = _LONG_POLL_S / 2
@@ -66,6 +69,7 @@
         self._loop = asyncio.get_running_loop()
         self._history = StateHistory()
         self._pull = StatePull(own_record, rng=rng)
+        self._hedge_allowed_at = 0.0
         #: the last call to the store failed
         self.store_failed = False
 
@@ -136,18 +140,21 @@
                 await asyncio.sleep(_READER_OFFSET_S)
 
     async def _read(self, wait_s: float) -> OperatorState:
-        read = self._records.read_operator_state
-        state = await send_hedged(
-            read(self.state, wait_s=wait_s),
-            lambda: read(self.state, wait_s=0.0),
-            delay_s=wait_s + _OVERDUE_S,
-        )
+        read = self._records.read_operator_state(self.state, wait_s=wait_s)
+        if wait_s > 0.0 and self._loop.time() >= self._hedge_allowed_at:
+            state = await send_hedged(read, self._read_again, delay_s=wait_s + _OVERDUE_S)
+        else:
+            state = await read
         if state.orders and not self._traffic_split.rollouts:
             for rollout in await self._records.read_rollouts():
                 if rollout.phase is not Phase.RUNNING:
                     self._traffic_split.apply_state(rollout)
         return state
 
+    async def _read_again(self) -> OperatorState:
+        self._hedge_allowed_at = self._loop.time() + _HEDGE_INTERVAL_S
+        return await self._records.read_operator_state(self.state, wait_s=0.0)
+
     def _add_state(self, state: OperatorState) -> None:
         base = self.offset
         if not self._history.add(state):
--- a/tests/test_mesh/test_configuration.py
+++ b/tests/test_mesh/test_configuration.py
@@ -88,6 +88,23 @@
     run_virtual(main)
 
 
+# Reads that repeat overdue ones must not feed the shortage that makes responses late.
+def test_slow_store_gets_few_more_reads() -> None:
+    async def main() -> None:
+        cluster, _ = InMemoryCluster(), RequestSender()
+        cluster.store.faults.delay_s = 0.6
+        settings = [make_settings(number) for number in range(1, 6)]
+        await cluster.start(*settings)
+        # each node reads the configuration and the nodes once
+        assert cluster.store.calls.count("/log-newest") == 2 * len(settings)
+        cluster.store.read_times.clear()
+        await asyncio.sleep(9.0)
+        # two readers, each poll takes 1.4 s, and one repeated read in 3 s
+        assert len(cluster.store.read_times) <= 2 * (9.0 / 1.4 + 1) + 2 * (9.0 / 3.0 + 1)
+
+    run_virtual(main)
+
+
 def test_readers_do_not_poll_in_step_after_a_change() -> None:
     async def main() -> None:
         cluster, _ = InMemoryCluster(), RequestSender()
