Count equal requests in one crash once, and keep that one of them was repeated

Found on reading the change: of two equal requests in flight in one crash only the first was counted, so a repeated second one was lost, and the two counted as not alone. The new test failed before.

--- a/balsamhead/mesh/_crash_registry.py
+++ b/balsamhead/mesh/_crash_registry.py
@@ -48,7 +48,7 @@
     started_at_ms: int
     #: the request was sent although an earlier crash under an equal one was known
     repeated: bool
-    #: no other request was running
+    #: no request but equal ones was running
     alone: bool
 
 
@@ -123,13 +123,14 @@
         :param requests: what was running.
         :param started_at_ms: start of the incarnation that crashed, in ms since the epoch.
         """
-        alone = len(requests) == 1
+        repeated: dict[bytes, bool] = {}
+        for request in requests:
+            fingerprint = fingerprint_call(request.call, request.body)
+            repeated[fingerprint] = request.repeated or repeated.get(fingerprint, False)
+        alone = len(repeated) == 1
         rows = [
-            SuspectRow(
-                fingerprint_call(row.call, row.body),
-                Crash(self._own_node, started_at_ms, repeated=row.repeated, alone=alone),
-            )
-            for row in requests
+            SuspectRow(fingerprint, Crash(self._own_node, started_at_ms, was_repeated, alone))
+            for fingerprint, was_repeated in repeated.items()
         ]
         self.add(rows, now)
         self.on_crash(rows)
@@ -142,14 +143,11 @@
             self.clear(rows)
             self.on_clear(rows)
 
-    def add(self, rows: Iterable[SuspectRow], now: float) -> list[SuspectRow]:
-        """Add crashes, and return those that were not known before."""
-        new_rows = [
-            row
-            for row in rows
-            if self._seen_reports.add((row.fingerprint, row.crash.node, row.crash.started_at_ms))
-        ]
-        for fingerprint, crash in new_rows:
+    def add(self, rows: Iterable[SuspectRow], now: float) -> None:
+        """Add crashes; one that is known already doesn't count again."""
+        for fingerprint, crash in rows:
+            if not self._seen_reports.add((fingerprint, crash.node, crash.started_at_ms)):
+                continue
             refusal_s = self._suspects.add(fingerprint, crash, now)
             if refusal_s:
                 logger.warning(
@@ -162,7 +160,6 @@
                         "time_s": refusal_s,
                     },
                 )
-        return new_rows
 
     def clear(self, rows: Iterable[SuspectRow]) -> None:
         """Discard crashes, since a request that was running in them was completed elsewhere."""
--- a/tests/test_mesh/test_crash_registry.py
+++ b/tests/test_mesh/test_crash_registry.py
@@ -6,7 +6,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from balsamhead.errors import MalformedMessageError
+from balsamhead.mesh._crash_detector import RunningRequest
 from balsamhead.mesh._crash_registry import Crash, CrashRegistry, SuspectRow, check_rows
+from tests.test_mesh.test_crash_detector import make_call
 
 KEY = b"k" * 16
 
@@ -66,6 +68,17 @@
     assert len(registry) == 0
 
 
+# Equal requests that were running in one crash hid that one of them had been sent again.
+def test_equal_requests_in_one_crash_are_one_suspect() -> None:
+    registry = CrashRegistry("n1")
+    reported: list[SuspectRow] = []
+    registry.on_crash = reported.extend
+    call = make_call(b"r1")
+    requests = [RunningRequest(call, b"x", repeated=repeated) for repeated in (False, True, False)]
+    registry.record_crash(requests, 5, 0.0)
+    assert [row.crash for row in reported] == [Crash("n1", 5, repeated=True, alone=True)]
+
+
 @pytest.mark.parametrize(
     "row",
     [
