--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -9,10 +9,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
+from balsamhead.mesh._calls import Call
 from balsamhead.mesh._node import MeshNode
 from balsamhead.mesh._server import HttpServer, Reply, Request
 from balsamhead.mesh._settings import MeshSettings
-from balsamhead.mesh.model import Limits
+from balsamhead.mesh.model import Limits, RouteKind
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
 from balsamhead.util.http1 import BodyDecoder, parse_response_head
@@ -275,6 +276,35 @@
         return member
 
 
+async def start_cluster(
+    *settings: MeshSettings, config: dict[str, Any] | None = None
+) -> tuple[InMemoryCluster, RequestSender]:
+    """Start a cluster, by default of two nodes of one service and one of another."""
+    cluster = InMemoryCluster()
+    await cluster.start(*(settings or (NODE_1, NODE_2, NODE_3)), config=config)
+    return cluster, RequestSender()
+
+
+def make_call(request_id: bytes = b"r1", **changes: Any) -> Call:
+    """Return a call of an idempotent request."""
+    call = Call(
+        request_id=request_id,
+        method="GET",
+        target=b"/a",
+        headers=b"",
+        route="check",
+        route_kind=RouteKind.SAFE,
+        priority=2,
+        service="desk",
+        version="",
+        caller_service="desk",
+        remaining_ms=1000,
+        objective_ms=250,
+        queue_timeout_ms=400,
+    )
+    return call._replace(**changes)
+
+
 class RequestSender:
     """Send requests to nodes, each with a unique request id."""
 
--- a/tests/test_mesh/test_crash_registry.py
+++ b/tests/test_mesh/test_crash_registry.py
@@ -8,7 +8,7 @@
 from balsamhead.errors import MalformedMessageError
 from balsamhead.mesh._crash_detector import RunningRequest
 from balsamhead.mesh._crash_registry import Crash, CrashRegistry, SuspectRow, check_rows
-from tests.test_mesh.test_crash_detector import make_call
+from tests.test_mesh.builders import make_call
 
 KEY = b"k" * 16
 
