--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -279,9 +279,9 @@
 async def start_cluster(
     *settings: MeshSettings, config: dict[str, Any] | None = None
 ) -> tuple[InMemoryCluster, RequestSender]:
-    """Start a cluster, by default of two nodes of one service and one of another."""
+    """Start a cluster, and return it with a sender of requests."""
     cluster = InMemoryCluster()
-    await cluster.start(*(settings or (NODE_1, NODE_2, NODE_3)), config=config)
+    await cluster.start(*settings, config=config)
     return cluster, RequestSender()
 
 
--- a/tests/test_mesh/test_departures.py
+++ b/tests/test_mesh/test_departures.py
@@ -39,7 +39,7 @@
 # DRAIN: a node that had restarted acknowledged a departure, then took a late heartbeat for a start.
 def test_departure_acknowledged_before_any_heartbeat_is_remembered() -> None:
     async def main() -> None:
-        cluster, send_request = await start_cluster()
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
         upstream = cluster.members[1].upstream
         await restart_node(cluster, announcing=False)
         assert (await upstream.leave()).status == 200
@@ -52,7 +52,7 @@
 
 def test_upstream_that_starts_again_under_its_id_gets_requests() -> None:
     async def main() -> None:
-        cluster, send_request = await start_cluster()
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
         upstream = cluster.members[1].upstream
         await restart_node(cluster, announcing=False)
         await upstream.leave()
@@ -66,7 +66,7 @@
 # DRAIN: a late heartbeat after the restart of its node made a draining upstream ready again.
 def test_peers_remember_that_an_upstream_leaves_when_its_node_restarts() -> None:
     async def main() -> None:
-        cluster, send_request = await start_cluster()
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
         upstream = cluster.members[1].upstream
         upstream.state = "draining"
         await upstream.announce()
@@ -83,7 +83,7 @@
 # DRAIN: an upstream that said in its responses that it leaves went on getting requests.
 def test_upstream_that_says_in_a_response_that_it_leaves_gets_no_more_requests() -> None:
     async def main() -> None:
-        cluster, send_request = await start_cluster()
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
         upstream = cluster.members[1].upstream
         upstream.extra_headers = b"Server-Leaving: 1\r\n"
         while not upstream.requests:
@@ -99,7 +99,7 @@
 # DRAIN: a node that restarted twice before it was linked forgot an acknowledged departure.
 def test_departure_is_not_acknowledged_before_a_peer_can_remember_it() -> None:
     async def main() -> None:
-        cluster, send_request = await start_cluster()
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
         upstream = cluster.members[1].upstream
         assert upstream._announcing is not None
         upstream._announcing.cancel()
@@ -141,7 +141,7 @@
 # A late heartbeat of an earlier incarnation, after the restart of its node, revived that one.
 def test_late_heartbeat_of_an_earlier_incarnation_revives_nothing_after_a_restart() -> None:
     async def main() -> None:
-        cluster, send_request = await start_cluster()
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
         upstream = cluster.members[1].upstream
         upstream.born += 1000
         await upstream.announce()
--- a/tests/test_mesh/test_restored_store.py
+++ b/tests/test_mesh/test_restored_store.py
@@ -56,7 +56,7 @@
 # CONFIG: after the store was restored from a copy, no node took up a change any more.
 def test_change_after_a_restoration_of_the_store_comes_into_force() -> None:
     async def main() -> None:
-        cluster, send_request = await start_cluster()
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
         await lose_last_change(cluster)
         await asyncio.sleep(1.0)
         put_config(cluster.store, 9, "late")
@@ -69,7 +69,7 @@
 
 def test_second_restoration_is_followed_like_the_first() -> None:
     async def main() -> None:
-        cluster, send_request = await start_cluster()
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
         await lose_last_change(cluster)
         await asyncio.sleep(0.5)
         topics = cluster.store.copy()
@@ -85,7 +85,7 @@
 
 def test_lost_change_stays_in_force_until_it_is_written_again() -> None:
     async def main() -> None:
-        cluster, send_request = await start_cluster()
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
         await lose_last_change(cluster)
         for _ in range(20):
             assert await get_statuses(cluster, send_request, "/lost/1") == [200] * 3
@@ -96,7 +96,7 @@
 
 def test_node_that_starts_after_a_restoration_gets_the_lost_change_from_its_peers() -> None:
     async def main() -> None:
-        cluster, send_request = await start_cluster()
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
         await lose_last_change(cluster)
         await asyncio.sleep(1.0)
         joined = await cluster.add(make_settings(4))
