--- a/tests/test_mesh/test_crash_soak.py
+++ b/tests/test_mesh/test_crash_soak.py
@@ -8,7 +8,7 @@
 
 from balsamhead.mesh._server import Request
 from tests.test_mesh.builders import InMemoryCluster, RequestSender, make_settings, run_virtual
-from tests.test_mesh.test_crashing_requests import (
+from tests.test_mesh.crash_builders import (
     ALLOWED_ARRIVALS,
     NODES,
     PLACES,
--- a/tests/test_mesh/test_crashing_requests.py
+++ b/tests/test_mesh/test_crashing_requests.py
@@ -4,56 +4,20 @@
 
 import pytest
 
-from balsamhead.mesh._crash_registry import CrashRegistry
-from balsamhead.mesh._server import Request
-from balsamhead.mesh._settings import MeshSettings
 from standin.virtual_network import CURRENT_HOST
-from tests.test_mesh.builders import (
-    InMemoryCluster,
-    RequestSender,
-    make_settings,
-    run_virtual,
-    start_cluster,
+from tests.test_mesh.builders import make_settings, run_virtual
+from tests.test_mesh.crash_builders import (
+    ALLOWED_ARRIVALS,
+    FATAL_BODY,
+    NODES,
+    SENDINGS,
+    count_late_arrivals,
+    crash_repeatedly,
+    get_registries,
+    list_fatal_arrivals,
+    start_fatal_cluster,
 )
 
-PLACES = ("east-a", "east-b", "west-a", "west-b")
-NODES = [make_settings(number, place=PLACES[number % 4]) for number in range(1, 9)]
-FATAL_BODY = b"divide by zero"
-#: how often the request that crashes upstreams is sent
-SENDINGS = 20
-#: time after the third crash from which the mesh is held to the bound, in s
-CONTACT_S = 3.0
-#: number of arrivals that are allowed after that
-ALLOWED_ARRIVALS = 3
-
-
-def has_fatal_body(request: Request) -> bool:
-    return request.body == FATAL_BODY
-
-
-async def start_fatal_cluster(*settings: MeshSettings) -> tuple[InMemoryCluster, RequestSender]:
-    """Start nodes whose upstreams crash as they begin to run a request with ``FATAL_BODY``."""
-    cluster, send_request = await start_cluster(*(settings or NODES))
-    for member in cluster.members.values():
-        member.upstream.is_fatal = has_fatal_body
-    return cluster, send_request
-
-
-def list_fatal_arrivals(cluster: InMemoryCluster) -> list[float]:
-    """Return when the request that crashes upstreams arrived at any of them, in order."""
-    return sorted(
-        at
-        for member in cluster.members.values()
-        for request, at in zip(member.upstream.requests, member.upstream.arrival_times, strict=True)
-        if has_fatal_body(request)
-    )
-
-
-def count_late_arrivals(arrivals: list[float]) -> int:
-    if len(arrivals) < 3:
-        return 0
-    return sum(at > arrivals[2] + CONTACT_S for at in arrivals)
-
 
 # BUDGET: a request under which three upstreams had crashed was sent to upstreams ever again.
 @pytest.mark.parametrize("interval_s", [0.5, 5.0])
@@ -77,22 +41,6 @@
     run_virtual(main)
 
 
-async def crash_repeatedly(
-    cluster: InMemoryCluster, send_request: RequestSender, *, path: str = "/accept/1"
-) -> None:
-    """Send the request that crashes upstreams until it is refused."""
-    for cfg in NODES:
-        response = await send_request(cfg, path, method="POST", body=FATAL_BODY)
-        await asyncio.sleep(0.2)
-        if response.status == 503:
-            return
-    raise AssertionError("the request was never refused")
-
-
-def get_registries(cluster: InMemoryCluster) -> list[CrashRegistry]:
-    return [member.node._crash_registry for member in cluster.members.values()]
-
-
 def test_refusal_says_that_the_request_has_not_run_and_when_to_come_back() -> None:
     async def main() -> None:
         cluster, send_request = await start_fatal_cluster()
