Run requests that are suspected of crashing upstreams on one upstream at a time

Cause: only a run that began with a crash known was evidence, and until one such run had crashed, every copy was run. Copies that start together are all decided before the first of them ends. The caller's service was part of the fingerprint, so nodes of several services counted the same request once for each.

Change: after two crashes, and after each refusal, equal requests run on one upstream of the mesh at a time, which all nodes name by rendezvous hashing and whose node counts by itself. Method, host, target and body make the fingerprint; the caller's service is kept with the crash, and a completion clears a request for its own service only.

--- a/balsamhead/mesh/_crash_detector.py
+++ b/balsamhead/mesh/_crash_detector.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from balsamhead.mesh._calls import NotExecuted, Outcome, OutcomeUnknown, UpstreamResponse
+from balsamhead.mesh._fingerprint import fingerprint_call
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -43,14 +44,22 @@
 class RunningRequest:
     """A request that was sent to the upstream and has not ended."""
 
-    __slots__ = ("body", "call", "repeated")
+    __slots__ = ("_body", "_fingerprint", "call", "repeated")
 
     def __init__(self, call: Call, body: bytes, *, repeated: bool) -> None:
         self.call = call
-        self.body = body
+        self._body = body
+        self._fingerprint = b""
         #: an equal request was known to have been running in a crash when this one was sent
         self.repeated = repeated
 
+    @property
+    def fingerprint(self) -> bytes:
+        """Return the fingerprint, which is computed when it is first needed."""
+        if not self._fingerprint:
+            self._fingerprint = fingerprint_call(self.call, self._body)
+        return self._fingerprint
+
 
 class CrashDetector:
     """Tell a crash of the upstream from the loss of single connections.
@@ -92,6 +101,11 @@
                 if code.startswith("connection-lost") and self._check is None:
                     self._check = self._loop.create_task(self._check_connections())
 
+    def is_running(self, fingerprint: bytes) -> bool:
+        """Return whether an equal request is running, or was lost and its loss is being checked."""
+        lost = self._lost if self._check is not None else ()
+        return any(request.fingerprint == fingerprint for request in (*self._running, *lost))
+
     def confirm_restart(self) -> None:
         """Report a crash, since a new incarnation has announced itself."""
         lost = list(self._lost)
@@ -99,6 +113,11 @@
         if lost:
             self._on_crash(lost)
 
+    def confirm_refusal(self) -> None:
+        """Report a crash if requests were lost, since a new connection was refused."""
+        if self._lost and not self._has_open_connections():
+            self._report_dead()
+
     def reset(self) -> None:
         """Forget the lost requests, since the upstream has left as planned."""
         self._lost.clear()
@@ -113,6 +132,9 @@
         if result is ProbeResult.ALIVE:
             self._lost.clear()
         elif result is ProbeResult.DEAD and self._lost:
-            requests = [*self._lost, *self._running]
-            self._lost.clear()
-            self._on_crash(requests)
+            self._report_dead()
+
+    def _report_dead(self) -> None:
+        requests = [*self._lost, *self._running]
+        self._lost.clear()
+        self._on_crash(requests)
--- a/balsamhead/mesh/_crash_exchange.py
+++ b/balsamhead/mesh/_crash_exchange.py
@@ -30,10 +30,13 @@
         registry.on_clear = lambda rows: self._broadcast(FrameKind.CRASHES_CLEARED, rows)
 
     def send_known(self, link: Link) -> None:
-        """Send a peer all known crashes."""
+        """Send a peer all known crashes, and for which services requests were cleared since."""
         rows = self._registry.list_rows()
         if rows:
             link.send(FrameKind.CRASHES, 0, (rows,))
+        cleared_rows = self._registry.list_cleared_rows()
+        if cleared_rows:
+            link.send(FrameKind.CRASHES_CLEARED, 0, (cleared_rows,))
 
     def handle_crashes(self, link: Link, frame: Frame) -> None:
         """Add the crashes that a peer has observed or knows of.
--- a/balsamhead/mesh/_crash_registry.py
+++ b/balsamhead/mesh/_crash_registry.py
@@ -7,12 +7,11 @@
 
 from balsamhead.errors import MalformedMessageError
 from balsamhead.util.recent import RecentValues
-from balsamhead.util.suspects import FINGERPRINT_BYTES, SuspectTable, hash_parts
+from balsamhead.util.suspects import FINGERPRINT_BYTES, SuspectTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
-    from balsamhead.mesh._calls import Call
     from balsamhead.mesh._crash_detector import RunningRequest
 
 __all__ = (
@@ -21,8 +20,6 @@
     "CrashRegistry",
     "SuspectRow",
     "check_rows",
-    "compute_fingerprint",
-    "fingerprint_call",
 )
 
 logger = logging.getLogger(__name__)
@@ -31,12 +28,18 @@
 CRASHING_REQUEST: Final = "request-crashes-upstreams"
 #: duration of the first refusal, in s
 _INITIAL_REFUSAL_S: Final = 60.0
+#: number of crashes from which a request runs on one upstream at a time
+_TRIAL_THRESHOLD: Final = 2
 #: number of crashes from which a request is refused
 _CRASH_THRESHOLD: Final = 3
 #: the same if in one of the crashes no other request was running
 _ALONE_CRASH_THRESHOLD: Final = 2
 #: maximum number of remembered reports; a remembered report doesn't count again
 _MAX_SEEN_REPORTS: Final = 8192
+#: maximum number of services that are remembered for a request as callers of completed ones
+_MAX_CLEARED_CALLERS: Final = 256
+#: longest name of a service in a report, in characters
+_MAX_SERVICE_CHARS: Final = 256
 
 
 class Crash(NamedTuple):
@@ -50,6 +53,8 @@
     repeated: bool
     #: no request but equal ones was running
     alone: bool
+    #: service of the VM that the request came from
+    caller_service: str = ""
 
 
 class SuspectRow(NamedTuple):
@@ -59,30 +64,18 @@
     crash: Crash
 
 
-def compute_fingerprint(
-    *, caller_service: str, method: str, route: str, target: bytes, body: bytes
-) -> bytes:
-    """Return the digest of what makes two requests equal, through whichever node they come."""
-    return hash_parts(caller_service.encode(), method.encode(), route.encode(), target, body)
-
-
-def fingerprint_call(call: Call, body: bytes) -> bytes:
-    """Return the fingerprint of a call's request."""
-    return compute_fingerprint(
-        caller_service=call.caller_service,
-        method=call.method,
-        route=call.route,
-        target=call.target,
-        body=body,
-    )
-
-
 class CrashRegistry:
     """Requests under which upstreams of the mesh have crashed, as known at this node.
 
-    All requests that were running in a crash are suspected. One that an upstream completes is
-    cleared. One that was sent again, and was running in a crash again, is refused for a time.
-    Crashes at one other node alone refuse nothing here, so that no single node's reports can.
+    All requests that were running in a crash are suspected. Equal requests count as one, whichever
+    service they came from. After a second crash, and after each refusal, a request is on trial:
+    it may run on one upstream of the mesh at a time. One that was sent again, and was running in
+    a crash again, is refused for a time. Crashes at one other node alone refuse nothing here, so
+    that no single node's reports can.
+
+    A request that an upstream completes is cleared for the service that it came from: the crashes
+    under requests of that service are discarded, and those under requests of others don't count
+    for it until the next one of its own.
     """
 
     def __init__(self, own_node: str) -> None:
@@ -90,7 +83,11 @@
         self._suspects: SuspectTable[Crash] = SuspectTable(
             is_conclusive=self._is_conclusive, initial_refusal_s=_INITIAL_REFUSAL_S
         )
-        self._seen_reports: RecentValues[tuple[bytes, str, int]] = RecentValues(_MAX_SEEN_REPORTS)
+        self._seen_reports: RecentValues[tuple[bytes, str, int, str]] = RecentValues(
+            _MAX_SEEN_REPORTS
+        )
+        #: services for which a suspected request is cleared, by fingerprint
+        self._cleared_callers: dict[bytes, set[str]] = {}
         #: called with the requests that were running in a crash of this node's upstream
         self.on_crash: Callable[[list[SuspectRow]], None] = lambda rows: None
         #: called with the known crashes under a request that this node's upstream has completed
@@ -107,14 +104,34 @@
         """Return whether a request is suspected or refused."""
         return fingerprint in self._suspects
 
-    def get_refusal_time(self, fingerprint: bytes, now: float) -> float:
-        """Return how long a request is still refused, in s; 0 if it is not."""
+    def get_refusal_time(self, fingerprint: bytes, caller_service: str, now: float) -> float:
+        """Return how long a request of a service is still refused, in s; 0 if it is not."""
+        if self._is_cleared(fingerprint, caller_service):
+            return 0.0
         return self._suspects.get_refusal_time(fingerprint, now)
 
+    def is_on_trial(self, fingerprint: bytes, caller_service: str) -> bool:
+        """Return whether a request of a service may run on one upstream at a time only."""
+        if fingerprint not in self._suspects or self._is_cleared(fingerprint, caller_service):
+            return False
+        if self._suspects.count_refusals(fingerprint):
+            return True
+        crashes = self._suspects.get_crashes(fingerprint)
+        return _count_incarnations(crashes) >= _TRIAL_THRESHOLD
+
     def list_rows(self) -> list[SuspectRow]:
         """Return all suspected requests with their crashes."""
         return [SuspectRow(*row) for row in self._suspects.list_crashes()]
 
+    def list_cleared_rows(self) -> list[SuspectRow]:
+        """Return the crashes that don't count for a service, for all services and requests."""
+        return [
+            row
+            for fingerprint, callers in self._cleared_callers.items()
+            for caller_service in callers
+            for row in self._make_cleared_rows(fingerprint, caller_service)
+        ]
+
     def record_crash(
         self, requests: Collection[RunningRequest], started_at_ms: int, now: float
     ) -> None:
@@ -123,31 +140,34 @@
         :param requests: what was running.
         :param started_at_ms: start of the incarnation that crashed, in ms since the epoch.
         """
-        repeated: dict[bytes, bool] = {}
+        repeated: dict[tuple[bytes, str], bool] = {}
         for request in requests:
-            fingerprint = fingerprint_call(request.call, request.body)
-            repeated[fingerprint] = request.repeated or repeated.get(fingerprint, False)
-        alone = len(repeated) == 1
+            key = (request.fingerprint, request.call.caller_service)
+            repeated[key] = request.repeated or repeated.get(key, False)
+        alone = len({fingerprint for fingerprint, _ in repeated}) == 1
         rows = [
-            SuspectRow(fingerprint, Crash(self._own_node, started_at_ms, was_repeated, alone))
-            for fingerprint, was_repeated in repeated.items()
+            SuspectRow(
+                fingerprint,
+                Crash(self._own_node, started_at_ms, was_repeated, alone, caller_service),
+            )
+            for (fingerprint, caller_service), was_repeated in repeated.items()
         ]
         self.add(rows, now)
         self.on_crash(rows)
 
-    def record_completion(self, fingerprint: bytes) -> None:
-        """Clear a request, since this node's upstream has completed it."""
-        crashes = self._suspects.get_crashes(fingerprint)
-        if crashes:
-            rows = [SuspectRow(fingerprint, crash) for crash in crashes]
+    def record_completion(self, fingerprint: bytes, caller_service: str) -> None:
+        """Clear a request of a service, since this node's upstream has completed it."""
+        if fingerprint in self._suspects and not self._is_cleared(fingerprint, caller_service):
+            rows = self._make_cleared_rows(fingerprint, caller_service)
             self.clear(rows)
             self.on_clear(rows)
 
     def add(self, rows: Iterable[SuspectRow], now: float) -> None:
         """Add crashes; one that is known already doesn't count again."""
         for fingerprint, crash in rows:
-            if not self._seen_reports.add((fingerprint, crash.node, crash.started_at_ms)):
+            if not self._remember(fingerprint, crash):
                 continue
+            self._cleared_callers.get(fingerprint, set()).discard(crash.caller_service)
             refusal_s = self._suspects.add(fingerprint, crash, now)
             if refusal_s:
                 logger.warning(
@@ -162,16 +182,44 @@
                 )
 
     def clear(self, rows: Iterable[SuspectRow]) -> None:
-        """Discard crashes, since a request that was running in them was completed elsewhere."""
+        """Clear requests of services, since an upstream has completed them.
+
+        :param rows: crashes that no longer count for the services that they name.
+        """
         for fingerprint, crash in rows:
-            self._seen_reports.add((fingerprint, crash.node, crash.started_at_ms))
+            self._remember(fingerprint, crash)
             was_refused = self._suspects.is_refused(fingerprint)
-            if self._suspects.discard(fingerprint, [crash]) and was_refused:
-                logger.info("crashing-request-cleared", extra={"fingerprint": fingerprint.hex()})
+            if self._suspects.discard(fingerprint, [crash]):
+                self._cleared_callers.pop(fingerprint, None)
+                if was_refused:
+                    logger.info(
+                        "crashing-request-cleared", extra={"fingerprint": fingerprint.hex()}
+                    )
+            elif fingerprint in self._suspects:
+                callers = self._cleared_callers.setdefault(fingerprint, set())
+                if len(callers) < _MAX_CLEARED_CALLERS:
+                    callers.add(crash.caller_service)
 
     def expire(self, now: float) -> None:
         """End the refusals that are over and forget old suspects."""
-        self._suspects.expire(now)
+        if self._suspects.expire(now):
+            for fingerprint in [key for key in self._cleared_callers if key not in self._suspects]:
+                del self._cleared_callers[fingerprint]
+
+    def _is_cleared(self, fingerprint: bytes, caller_service: str) -> bool:
+        return caller_service in self._cleared_callers.get(fingerprint, ())
+
+    def _make_cleared_rows(self, fingerprint: bytes, caller_service: str) -> list[SuspectRow]:
+        return [
+            SuspectRow(fingerprint, crash._replace(caller_service=caller_service))
+            for crash in self._suspects.get_crashes(fingerprint)
+        ]
+
+    def _remember(self, fingerprint: bytes, crash: Crash) -> bool:
+        """Remember a report, and return whether it is new."""
+        return self._seen_reports.add(
+            (fingerprint, crash.node, crash.started_at_ms, crash.caller_service)
+        )
 
     def _is_conclusive(self, crashes: Collection[Crash]) -> bool:
         if not any(crash.repeated for crash in crashes):
@@ -180,16 +228,27 @@
         if len(nodes) == 1 and nodes != {self._own_node}:
             return False
         was_alone = any(crash.alone for crash in crashes)
-        return len(crashes) >= (_ALONE_CRASH_THRESHOLD if was_alone else _CRASH_THRESHOLD)
+        threshold = _ALONE_CRASH_THRESHOLD if was_alone else _CRASH_THRESHOLD
+        return _count_incarnations(crashes) >= threshold
+
+
+def _count_incarnations(crashes: Iterable[Crash]) -> int:
+    """Count crashes; requests of several services may have been running in the same one."""
+    return len({(crash.node, crash.started_at_ms) for crash in crashes})
 
 
 def check_rows(rows: Iterable[SuspectRow], *, peer: str) -> None:
     """Check rows that a peer has sent.
 
-    :raises MalformedMessageError: a fingerprint has a wrong length, or a start is out of range.
+    :raises MalformedMessageError: a fingerprint has a wrong length, a start is out of range, or the
+        name of a service is too long.
     """
     for fingerprint, crash in rows:
-        if len(fingerprint) != FINGERPRINT_BYTES or not 0 <= crash.started_at_ms < 1 << 63:
+        if (
+            len(fingerprint) != FINGERPRINT_BYTES
+            or not 0 <= crash.started_at_ms < 1 << 63
+            or len(crash.caller_service) > _MAX_SERVICE_CHARS
+        ):
             raise MalformedMessageError(
-                "fingerprint or start of a crash is invalid", step="take-crashes", peer=peer
+                "fingerprint, start or caller of a crash is invalid", step="take-crashes", peer=peer
             )
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -127,15 +127,17 @@
         self._budget = RetryBudget(
             ratio=cfg.retry_ratio, slack=cfg.retry_slack, window_s=cfg.retry_window
         )
+        upstream_index = UpstreamIndex(
+            cfg, link_manager=self._link_manager, local=self._local_upstream, rng=rng
+        )
+        self._local_upstream.crash_guard.is_trial_node = upstream_index.is_trial_node
         self._caller_side = RequestRouter(
             cfg,
             link_manager=self._link_manager,
             local=self._local_upstream,
             budget=self._budget,
             traffic_split=self._traffic_split,
-            upstream_index=UpstreamIndex(
-                cfg, link_manager=self._link_manager, local=self._local_upstream, rng=rng
-            ),
+            upstream_index=upstream_index,
             crash_registry=self._crash_registry,
             metrics=self._metrics,
             rng=rng,
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -7,8 +7,10 @@
 from typing import TYPE_CHECKING, Final
 
 from balsamhead.mesh._calls import Call, Outcome, OutcomeUnknown, Refused, UpstreamResponse
-from balsamhead.mesh._crash_registry import CRASHING_REQUEST, compute_fingerprint
+from balsamhead.mesh._crash_guard import TRIAL_RUNNING
+from balsamhead.mesh._crash_registry import CRASHING_REQUEST
 from balsamhead.mesh._fairness import PriorityFairness
+from balsamhead.mesh._fingerprint import compute_fingerprint
 from balsamhead.mesh._prior_attempts import PriorAttemptTime
 from balsamhead.mesh._queue_timeout import compute_max_wait, compute_queue_timeout
 from balsamhead.mesh._request_trace import Attempt, Decision, RequestTrace
@@ -57,6 +59,8 @@
 _SERVICE_TIME_MARGIN: Final = 1.5
 #: how long a peer that could not reach its upstream is sent no calls, in s
 _PEER_BACKOFF_S: Final = 0.3
+#: codes of refusals after which no other upstream is tried
+_FINAL_CODES: Final = (CRASHING_REQUEST, TRIAL_RUNNING)
 #: codes of refusals by an upstream that has no room at once, but may have some soon
 _FULL_CODES: Final = ("upstream-full", "upstream-limited")
 #: statuses of requests that were not served for lack of capacity or time
@@ -137,7 +141,7 @@
             self._metrics.count("requests_unrouted")
             return Reply(404)
         trace.route = route.name
-        refusal_s = self._get_crash_refusal_time(request, route)
+        refusal_s = self._get_crash_refusal_time(request)
         if refusal_s:
             return self._refuse(trace, CRASHING_REQUEST, refusal_s)
         deadline_ms = caller_headers.deadline_ms
@@ -199,7 +203,7 @@
         failed_response: UpstreamResponse | None = None
         full_nodes = 0
         while len(trace.attempted_nodes) - full_nodes < _MAX_ATTEMPTED_NODES:
-            selection = self._select(route, service, excluded, deadline, trace)
+            selection = self._select(request, route, service, excluded, deadline, trace)
             if isinstance(selection, Refused):
                 code, retry_after_s = selection.code, selection.retry_after_s or retry_after_s
                 break
@@ -226,7 +230,7 @@
             code = outcome.code
             if isinstance(outcome, Refused):
                 retry_after_s = outcome.retry_after_s or retry_after_s
-                if code == CRASHING_REQUEST:
+                if code in _FINAL_CODES or self._is_on_trial(request):
                     break
                 continue
             trace.deliveries += 1
@@ -246,7 +250,7 @@
         if isinstance(outcome, OutcomeUnknown) and (
             route.kind is RouteKind.ONCE
             or outcome.code == "deadline-passed"
-            or self._is_suspected(request, route)
+            or self._is_suspected(request)
         ):
             return False
         if trace.deliveries >= route.max_attempts:
@@ -281,30 +285,51 @@
 
     # -- requests that crash upstreams -------------------------------------------------------
 
-    def _get_crash_refusal_time(self, request: Request, route: Route) -> float:
+    def _get_crash_refusal_time(self, request: Request) -> float:
         if not self._crash_registry:
             return 0.0
-        fingerprint = self._compute_fingerprint(request, route)
-        return self._crash_registry.get_refusal_time(fingerprint, self._loop.time())
+        return self._crash_registry.get_refusal_time(
+            _fingerprint_request(request), self._cfg.service, self._loop.time()
+        )
 
-    def _is_suspected(self, request: Request, route: Route) -> bool:
+    def _is_suspected(self, request: Request) -> bool:
         return bool(self._crash_registry) and self._crash_registry.is_suspected(
-            self._compute_fingerprint(request, route)
+            _fingerprint_request(request)
         )
 
-    def _compute_fingerprint(self, request: Request, route: Route) -> bytes:
-        return compute_fingerprint(
-            caller_service=self._cfg.service,
-            method=request.head.method,
-            route=route.name,
-            target=request.head.target,
-            body=request.body,
+    def _is_on_trial(self, request: Request) -> bool:
+        return bool(self._crash_registry) and self._crash_registry.is_on_trial(
+            _fingerprint_request(request), self._cfg.service
         )
 
     # -- selection ---------------------------------------------------------------------------
 
+    def _list_candidates(
+        self, request: Request, route: Route, service: str, excluded: set[str], now: float
+    ) -> list[Candidate]:
+        versions = self._upstream_index.count_by_version(service, now)
+        allowed = self._traffic_split.select_versions(service, versions)
+        if self._is_on_trial(request):
+            return self._upstream_index.list_trial_candidates(
+                service,
+                allowed,
+                _fingerprint_request(request),
+                excluded=excluded,
+                priority=route.priority,
+                now=now,
+            )
+        return self._upstream_index.list_candidates(
+            service,
+            allowed,
+            excluded=excluded,
+            priority=route.priority,
+            prefer_nearby=route.kind is RouteKind.BULK,
+            now=now,
+        )
+
     def _select(
         self,
+        request: Request,
         route: Route,
         service: str,
         excluded: set[str],
@@ -312,18 +337,9 @@
         trace: RequestTrace,
     ) -> Selection | Refused:
         now = self._loop.time()
-        versions = self._upstream_index.count_by_version(service, now)
-        if not versions:
+        if not self._upstream_index.count_by_version(service, now):
             return Refused("no-upstream")
-        allowed = self._traffic_split.select_versions(service, versions)
-        candidates = self._upstream_index.list_candidates(
-            service,
-            allowed,
-            excluded=excluded,
-            priority=route.priority,
-            prefer_nearby=route.kind is RouteKind.BULK,
-            now=now,
-        )
+        candidates = self._list_candidates(request, route, service, excluded, now)
         size_bytes = self._mean_sizes.get(route.name)
         if size_bytes is None:
             size_bytes = _DEFAULT_BULK_SIZE if route.kind is RouteKind.BULK else _DEFAULT_SIZE
@@ -465,5 +481,12 @@
         )
 
 
+def _fingerprint_request(request: Request) -> bytes:
+    head = request.head
+    return compute_fingerprint(
+        method=head.method, target=head.target, header_lines=head.forwarded, body=request.body
+    )
+
+
 def _describe_outcome(outcome: Outcome) -> str:
     return str(outcome.status) if isinstance(outcome, UpstreamResponse) else outcome.code
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -17,8 +17,7 @@
     UpstreamResponse,
 )
 from balsamhead.mesh._connection_pool import ConnectionPool
-from balsamhead.mesh._crash_detector import CrashDetector, RunningRequest
-from balsamhead.mesh._crash_registry import CRASHING_REQUEST, fingerprint_call
+from balsamhead.mesh._crash_guard import TRIAL_CODES, CrashGuard
 from balsamhead.mesh._departures import Departures
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
@@ -83,7 +82,6 @@
         self._on_change = on_change
         self._on_result = on_result
         self._metrics = metrics
-        self._crash_registry = crash_registry
         self._loop = asyncio.get_running_loop()
         self._slots = SlotQueue(count_slots=self._count_slots, metrics=metrics)
         self._announced_at = 0.0
@@ -95,12 +93,10 @@
         #: this incarnation of the upstream has responded to this run of the node
         self._heard_notices = False
         self._tasks: set[asyncio.Task[Outcome]] = set()
-        self._crash_detector = CrashDetector(
-            has_open_connections=self._connections.has_open_connections,
-            probe=self._connections.probe,
-            on_crash=self._handle_crash,
-        )
         self.record: UpstreamRecord | None = None
+        self.crash_guard = CrashGuard(
+            crash_registry, connections=self._connections, get_record=lambda: self.record
+        )
         self._statistics = UpstreamStatistics()
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
@@ -130,9 +126,9 @@
         changed = current is None or (current.id, current.started_at_ms) != key
         if changed:
             if current is None or current.state is UpstreamState.DRAINING:
-                self._crash_detector.reset()
+                self.crash_guard.detector.reset()
             else:
-                self._crash_detector.confirm_restart()
+                self.crash_guard.detector.confirm_restart()
             self._connections.close_idle()
             self._statistics = UpstreamStatistics()
             self._slots.set_limit(None)
@@ -318,16 +314,12 @@
         return None
 
     def _check_crashes(self, call: Call, body: bytes) -> Refused | None:
-        if not self._crash_registry:
-            return None
-        fingerprint = fingerprint_call(call, body)
-        refusal_s = self._crash_registry.get_refusal_time(fingerprint, self._loop.time())
-        return Refused(CRASHING_REQUEST, refusal_s, self.get_load()) if refusal_s else None
-
-    def _is_suspected(self, call: Call, body: bytes) -> bool:
-        return bool(self._crash_registry) and self._crash_registry.is_suspected(
-            fingerprint_call(call, body)
-        )
+        refusal = self.crash_guard.check(call, body)
+        if refusal is not None and refusal.code in TRIAL_CODES:
+            refusal = refusal._replace(
+                retry_after_s=max(_MIN_RETRY_AFTER_S, self.service_ms / 1000)
+            )
+        return refusal and refusal._replace(load=self.get_load())
 
     def _estimate_wait(self, ahead: int) -> float:
         """Return the expected wait of a request for a slot behind others, in ms."""
@@ -393,16 +385,13 @@
 
         timer = self._loop.call_at(deadline, conn.cancel, call, "deadline-passed")
 
-        repeated = self._is_suspected(call, body)
-        running = self._crash_detector.start(call, body, repeated=repeated)
+        running = self.crash_guard.start(call, body)
 
         def finish(outcome: Outcome) -> None:
             timer.cancel()
             self._connections.release(conn)
             slot_hold.release()
-            self._crash_detector.finish(running, outcome)
-            if isinstance(outcome, UpstreamResponse) and outcome.status < 500:
-                self._record_completion(call, body)
+            self.crash_guard.finish(running, outcome)
 
         future = conn.send(
             call,
@@ -454,27 +443,12 @@
         try:
             return await self._connections.acquire(call.route_kind)
         except OSError as exc:
+            if isinstance(exc, ConnectionRefusedError):
+                # peers learn of the crash before they select another upstream
+                self.crash_guard.detector.confirm_refusal()
             self._mark_unavailable(exc)
             return None
 
-    def _handle_crash(self, requests: list[RunningRequest]) -> None:
-        record = self.record
-        if record is None or record.state is UpstreamState.DRAINING:
-            return
-        logger.warning(
-            "upstream-crashed",
-            extra={
-                "upstream": record.id,
-                "started_at_ms": record.started_at_ms,
-                "requests": [row.call.request_id.decode("latin-1") for row in requests],
-            },
-        )
-        self._crash_registry.record_crash(requests, record.started_at_ms, self._loop.time())
-
-    def _record_completion(self, call: Call, body: bytes) -> None:
-        if self._crash_registry:
-            self._crash_registry.record_completion(fingerprint_call(call, body))
-
     def _mark_unavailable(self, exc: OSError) -> None:
         logger.warning("upstream-unreachable", extra={"error": repr(exc)})
         self._unavailable_until = self._loop.time() + _UNAVAILABLE_S
--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final, NamedTuple
 
+from balsamhead.mesh._peers import rank_nodes
 from balsamhead.mesh._selection import Candidate, Locality, estimate_concurrency, estimate_wait
 
 if TYPE_CHECKING:
@@ -124,6 +125,52 @@
             ]
         return candidates
 
+    def list_trial_candidates(
+        self,
+        service: str,
+        versions: Collection[str],
+        fingerprint: bytes,
+        *,
+        excluded: Collection[str],
+        priority: int,
+        now: float,
+    ) -> list[Candidate]:
+        """Return the only upstream on which a request may be on trial; none if it takes no calls.
+
+        All nodes that know the same upstreams return the same one.
+        """
+        node = self._find_trial_node(service, versions, fingerprint)
+        if node is None or node in excluded:
+            return []
+        if node == self._cfg.node:
+            return [self._make_local_candidate(priority)]
+        peer = self._link_manager.table.peers[node]
+        return [self._make_candidate(peer, priority, now)] if self._accepts_calls(peer, now) else []
+
+    def is_trial_node(self, fingerprint: bytes) -> bool:
+        """Return whether a request may be on trial on this node's upstream."""
+        record = self._local.record
+        if record is None:
+            return False
+        node = self._find_trial_node(record.service, (record.version,), fingerprint)
+        return node == self._cfg.node
+
+    def _find_trial_node(
+        self, service: str, versions: Collection[str], fingerprint: bytes
+    ) -> str | None:
+        names = [
+            peer.record.name
+            for version, group in self._get_groups(service).items()
+            if version in versions
+            for peers in group
+            for peer in peers
+        ]
+        record = self._local.record
+        if self._serves_locally(service) and record is not None and record.version in versions:
+            names.append(self._cfg.node)
+        ranked_names = rank_nodes(names, f"trial/{fingerprint.hex()}")
+        return ranked_names[0] if ranked_names else None
+
     def _sample(self, peers: list[Peer], size: int) -> list[Peer]:
         return peers if len(peers) <= size else self._rng.sample(peers, size)
 
--- a/balsamhead/util/suspects.py
+++ b/balsamhead/util/suspects.py
@@ -122,6 +122,11 @@
         suspect = self._suspects.get(fingerprint)
         return 0.0 if suspect is None else max(0.0, suspect.refused_until - now)
 
+    def count_refusals(self, fingerprint: bytes) -> int:
+        """Return how many refusals of a fingerprint have begun so far."""
+        suspect = self._suspects.get(fingerprint)
+        return 0 if suspect is None else suspect.refusal_count
+
     def is_refused(self, fingerprint: bytes) -> bool:
         """Return whether a fingerprint is refused, as of the last call of :meth:`expire`."""
         suspect = self._suspects.get(fingerprint)
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -30,6 +30,7 @@
     ),
     ("model",),
     (
+        "_fingerprint",
         "_frames",
         "_flow_control",
         "_routes",
@@ -41,6 +42,7 @@
     ("_server", "_upstream_connection", "_link", "_request_trace", "_crash_detector"),
     ("_crash_registry",),
     ("_peers", "_connection_pool"),
+    ("_crash_guard",),
     ("_upstream",),
     ("_link_manager", "_evidence", "_state_pull"),
     ("_upstream_index", "_rollouts", "_sync"),
--- a/tests/test_mesh/test_crash_detector.py
+++ b/tests/test_mesh/test_crash_detector.py
@@ -105,6 +105,36 @@
     run_virtual(main)
 
 
+def test_refused_connection_confirms_a_crash_before_the_check() -> None:
+    async def main() -> None:
+        upstream = Upstream()
+        running = upstream.start(b"r1")
+        upstream.detector.confirm_refusal()
+        assert upstream.crashes == []
+        upstream.detector.finish(running, LOST)
+        upstream.detector.confirm_refusal()
+        assert upstream.crashes == [[b"r1"]]
+        await asyncio.sleep(0.1)
+        assert upstream.crashes == [[b"r1"]]
+
+    run_virtual(main)
+
+
+def test_lost_request_counts_as_running_until_its_loss_was_checked() -> None:
+    async def main() -> None:
+        upstream = Upstream()
+        upstream.probe_result = ProbeResult.ALIVE
+        running = upstream.start(b"r1")
+        assert upstream.detector.is_running(running.fingerprint)
+        assert not upstream.detector.is_running(b"o" * 16)
+        upstream.detector.finish(running, LOST)
+        assert upstream.detector.is_running(running.fingerprint)
+        await asyncio.sleep(0.1)
+        assert not upstream.detector.is_running(running.fingerprint)
+
+    run_virtual(main)
+
+
 def test_planned_departure_is_no_crash() -> None:
     async def main() -> None:
         upstream = Upstream()
