Serve a version whose order was replaced while no other old one is left

Callers saw: every request refused while an order is replaced by another one, if the first was for the version that all upstreams run (the operator goes back and forth), and the second has not reached its full share. It then never does, since no call shows how the new version does.

Cause: the target of a replaced order was withdrawn like one that was rolled back, although it may be the version in use.

Change: replaced targets are kept apart from rolled back ones, and get calls if no other version but that of the rollout is left.

Evidence: test_requests_are_served_when_an_order_for_the_version_in_use_is_ replaced fails before (503 for all), passes now.

--- a/balsamhead/mesh/_traffic_split.py
+++ b/balsamhead/mesh/_traffic_split.py
@@ -23,9 +23,12 @@
     def __init__(self) -> None:
         self.rollouts: dict[str, Rollout] = {}
         self._credit: dict[str, float] = {}
-        #: offset of the withdrawn order, by service and version; such a version gets no calls until
-        #: it is ordered again
-        self._withdrawn: dict[str, dict[str, int]] = {}
+        #: offset of the order that was rolled back, by service and version; such a version gets no
+        #: calls until it is ordered again
+        self._rolled_back: dict[str, dict[str, int]] = {}
+        #: the same of orders that were replaced before their rollout was completed; such a version
+        #: gets calls only if no other one but that of the rollout is left
+        self._replaced: dict[str, dict[str, int]] = {}
 
     @property
     def checksum(self) -> int:
@@ -51,10 +54,9 @@
         if current is not None and _get_precedence(current) >= _get_precedence(rollout):
             return False
         if current is not None and current.order < rollout.order and current.phase is Phase.RUNNING:
-            # A newer order replaces this rollout before it was completed.
-            self._withdraw(current)
+            _withdraw(self._replaced, current)
         if rollout.phase is Phase.ROLLED_BACK:
-            self._withdraw(rollout)
+            _withdraw(self._rolled_back, rollout)
         self.rollouts[rollout.service] = rollout
         return True
 
@@ -78,15 +80,13 @@
             return current
         rollout = self.rollouts[current.service] = current._replace(order=order)
         if rollout.phase is Phase.ROLLED_BACK:
-            self._withdraw(rollout)
+            _withdraw(self._rolled_back, rollout)
         return rollout
 
-    def _withdraw(self, rollout: Rollout) -> None:
-        versions = self._withdrawn.setdefault(rollout.service, {})
-        versions[rollout.version] = max(rollout.order, versions.get(rollout.version, -1))
-
-    def _is_withdrawn(self, service: str, version: str) -> bool:
-        order = self._withdrawn.get(service, {}).get(version)
+    def _is_withdrawn(
+        self, withdrawn: dict[str, dict[str, int]], service: str, version: str
+    ) -> bool:
+        order = withdrawn.get(service, {}).get(version)
         if order is None:
             return False
         rollout = self.rollouts.get(service)
@@ -102,11 +102,7 @@
         if rollout is None:
             return _select_most_common(versions)
         new = [version for version in versions if version == rollout.version]
-        old = [
-            version
-            for version in versions
-            if version != rollout.version and not self._is_withdrawn(service, version)
-        ]
+        old = self._list_old_versions(rollout, versions)
         match rollout.phase:
             case Phase.ROLLED_BACK:
                 return old
@@ -115,6 +111,20 @@
             case _:
                 return self._split(service, rollout.share, new, old)
 
+    def _list_old_versions(self, rollout: Rollout, versions: Mapping[str, int]) -> list[str]:
+        service = rollout.service
+        candidates = [
+            version
+            for version in versions
+            if version != rollout.version
+            and not self._is_withdrawn(self._rolled_back, service, version)
+        ]
+        return [
+            version
+            for version in candidates
+            if not self._is_withdrawn(self._replaced, service, version)
+        ] or candidates
+
     def _split(self, service: str, share: float, new: list[str], old: list[str]) -> list[str]:
         if share >= 1.0:
             return new or old
@@ -126,6 +136,11 @@
         return new if takes_new else old
 
 
+def _withdraw(withdrawn: dict[str, dict[str, int]], rollout: Rollout) -> None:
+    versions = withdrawn.setdefault(rollout.service, {})
+    versions[rollout.version] = max(rollout.order, versions.get(rollout.version, -1))
+
+
 def _is_same_rollout(one: Rollout, other: Rollout) -> bool:
     """Return whether two states are of one order that was recorded in different generations."""
     return one.version == other.version and get_generation(one.order) != get_generation(other.order)
--- a/tests/test_mesh/test_rollouts.py
+++ b/tests/test_mesh/test_rollouts.py
@@ -181,3 +181,22 @@
         assert sum(len(member.upstream.requests) for member in new) == seen
 
     run_virtual(main)
+
+
+# Nobody was served: the version in use was ordered again, and another one before that had ended.
+def test_requests_are_served_when_an_order_for_the_version_in_use_is_replaced() -> None:
+    async def main() -> None:
+        fleet, ask = InMemoryCluster(), RequestSender()
+        await fleet.start(*OLD)
+        for version in ("v1", "v2"):
+            order = {"service": "desk", "target_version": version, "duration": "16s"}
+            fleet.store.put("keyed.op", "rollout/desk", order)
+            await asyncio.sleep(1.0)
+        for cfg in NEW:
+            await fleet.add(cfg, version="v2")
+        statuses: list[int] = []
+        await send_load(ask, 15.0, statuses)
+        assert set(statuses) == {200}
+        assert get_status(fleet)["state"] == "completed"
+
+    run_virtual(main)
--- a/tests/test_mesh/test_traffic_split.py
+++ b/tests/test_mesh/test_traffic_split.py
@@ -109,3 +109,19 @@
     shares.apply_state(make_rollout(Phase.ROLLED_BACK, order=1))
     shares.apply_state(make_rollout(Phase.RUNNING, order=2, share=1.0))
     assert set(select_repeatedly(shares, {"v1": 2, "v2": 2}, 10)) == {"v2"}
+
+
+# Nobody was served: a version that all upstreams ran was ordered again, and another one after it.
+def test_version_of_a_replaced_order_is_used_while_no_other_old_version_is_left() -> None:
+    shares = TrafficSplit()
+    shares.apply_state(make_rollout(Phase.RUNNING, order=1)._replace(version="v1"))
+    shares.apply_state(make_rollout(Phase.RUNNING, order=2, share=0.01))
+    assert select_repeatedly(shares, {"v1": 2, "v2": 1}, 20) == ["v1"] * 20
+    assert select_repeatedly(shares, {"v0": 2, "v1": 2, "v2": 1}, 20) == ["v0"] * 20
+
+
+def test_version_that_was_rolled_back_is_not_used_even_if_no_other_old_one_is_left() -> None:
+    shares = TrafficSplit()
+    shares.apply_state(make_rollout(Phase.ROLLED_BACK, order=1)._replace(version="v1"))
+    shares.apply_state(make_rollout(Phase.RUNNING, order=2, share=0.04))
+    assert shares.select_versions("desk", {"v1": 2, "v2": 1}) == []
