Follow an order that is given right after a restoration of the store

Cause: offsets of two histories decided which of two orders is the older one.

Change: each node remembers which orders it has held and from which offset on. An order read in a new era is an old one of the copy only if the node has held it at that offset, or can't know; the decision moves from the adapter to the mesh.

Not covered: of two orders of one service in a single read, the first is not remembered.

--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -9,6 +9,7 @@
 from balsamhead.errors import BalsamheadError
 from balsamhead.mesh._frames import Frame, FrameKind, encode_frame
 from balsamhead.mesh._hedged_request import send_hedged
+from balsamhead.mesh._order_history import OrderHistory
 from balsamhead.mesh._peers import Peer, rank_nodes
 from balsamhead.mesh._state_history import StateHistory, decode_delta, encode_delta
 from balsamhead.mesh._state_pull import StatePull
@@ -68,6 +69,7 @@
         self._on_change = on_change
         self._loop = asyncio.get_running_loop()
         self._history = StateHistory()
+        self._order_history = OrderHistory()
         self._pull = StatePull(own_record, rng=rng)
         self._hedge_allowed_at = 0.0
         #: the last call to the store failed
@@ -157,7 +159,7 @@
 
     def _add_state(self, state: OperatorState) -> None:
         base = self.offset
-        if not self._history.add(state):
+        if not self._history.add(self._order_history.omit_replaced(self.state, state)):
             return
         self._notify_state("store")
         delta = self._history.make_delta(base)
@@ -168,6 +170,7 @@
 
     def _notify_state(self, source: str) -> None:
         state = self.state
+        self._order_history.record(state)
         if state.config is not None:
             logger.info(
                 "config-in-force",
--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -97,7 +97,7 @@
                     "previous_offset": get_offset(known.offset),
                 },
             )
-        return _apply_records(known, _omit_superseded(known, newest.records), position)
+        return _apply_records(known, newest.records, position)
 
     async def write_node(self, record: NodeRecord) -> None:
         """Write a node's record.
@@ -168,22 +168,6 @@
         return None
 
 
-def _omit_superseded(known: OperatorState, records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
-    """Omit orders that precede the known order of their service.
-
-    A store that was restored holds the orders of an earlier time until the lost ones are written
-    again.
-    """
-    services = {ROLLOUT_KEY_PREFIX + service: order for service, order in known.orders.items()}
-    rows = []
-    for record in records:
-        order = services.get(record.key)
-        superseded = order is not None and record.offset < get_offset(order.offset)
-        if not superseded:
-            rows.append(record)
-    return rows
-
-
 def _apply_records(
     known: OperatorState, records: Iterable[KeyedRecord], position: int
 ) -> OperatorState:
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -32,6 +32,7 @@
     (
         "_fingerprint",
         "_frames",
+        "_order_history",
         "_flow_control",
         "_routes",
         "_selection",
