Let other nodes read when the store is silent to the readers

Cause: a reader was passed over only when its call had timed out, 2.3 s after it began, and peers heard of it with the next heartbeat. Both readers had no response from the store, and so had the next two.

Change: a reader whose response is 0.7 s overdue tells all peers at once; for every two nodes without contact one more node reads. A node without any state is not watched, since its response may be large.

--- a/balsamhead/mesh/_link_manager.py
+++ b/balsamhead/mesh/_link_manager.py
@@ -177,6 +177,10 @@
         if redundant.dialled and not redundant.has_active_calls():
             redundant.close("spare")
 
+    def announce_state(self) -> None:
+        """Send the content of a heartbeat to all peers now, without asking for replies."""
+        self.broadcast(encode_frame(FrameKind.HEARTBEAT_REPLY, 0, self._handler.make_heartbeat()))
+
     def announce_upstream(self, view: UpstreamView | None) -> None:
         """Send the state of this node's upstream to all peers."""
         self.broadcast(encode_frame(FrameKind.UPSTREAM, 0, (view,)))
--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from balsamhead.errors import BalsamheadError
+from balsamhead.errors import BalsamheadError, LogUnavailableError
 from balsamhead.mesh._frames import Frame, FrameKind, encode_frame
 from balsamhead.mesh._hedged_request import send_hedged
 from balsamhead.mesh._order_history import OrderHistory
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from balsamhead.mesh._link import Link
     from balsamhead.mesh._link_manager import LinkManager
@@ -34,11 +34,16 @@
 STORE_RETRY_DELAY_S: Final = 0.5
 #: number of nodes that read the operator's records from the store
 _READER_COUNT: Final = 2
+#: number of nodes without contact to the store for each of which another node reads more
+_FAILED_NODES_PER_READER: Final = 2
 #: long-poll time: how long the store waits for new records before it responds, in s
 _LONG_POLL_S: Final = 0.8
 #: time after the end of a long poll at which its response is overdue, so that the store is asked
 #: again, in s
 _OVERDUE_S: Final = 0.3
+#: time after the end of a long poll without a response after which other nodes read in place of
+#: this one, in s
+_SILENCE_S: Final = 0.7
 #: minimum time between two reads that repeat an overdue one, in s; a response may also be late
 #: since the path is full
 _HEDGE_INTERVAL_S: Final = 3.0
@@ -87,15 +92,17 @@
 
     def is_reader(self) -> bool:
         """Return whether this node reads from the store."""
-        return self._get_reader_rank() < _READER_COUNT
-
-    def _get_reader_rank(self) -> int:
-        """Return this node's rank among the live nodes that reach the store, by hashing."""
-        names = [
-            peer.record.name
-            for peer in self._link_manager.list_live()
-            if not peer.store_failed and not peer.stopping
-        ]
+        peers = self._list_peers()
+        failed_nodes = sum(peer.store_failed for peer in peers)
+        count = _READER_COUNT + failed_nodes // _FAILED_NODES_PER_READER
+        return self._rank_as_reader(peers) < count
+
+    def _list_peers(self) -> list[Peer]:
+        return [peer for peer in self._link_manager.list_live() if not peer.stopping]
+
+    def _rank_as_reader(self, peers: Iterable[Peer]) -> int:
+        """Return this node's rank among the peers that reach the store, by hashing."""
+        names = [peer.record.name for peer in peers if not peer.store_failed]
         return rank_nodes([*names, self._own_name], "readers").index(self._own_name)
 
     def record_store_result(self, exc: BalsamheadError | None) -> None:
@@ -108,6 +115,8 @@
             self.store_failed = failed
             if failed:
                 logger.warning("store-lost", extra={"error": str(exc)})
+                # the next reader takes over at once
+                self._link_manager.announce_state()
             else:
                 logger.info("store-regained")
 
@@ -123,7 +132,7 @@
             try:
                 # Only a response shows whether the store has been restored, so the first one must
                 # not wait for a new record.
-                state = await self._read(_LONG_POLL_S if in_contact else 0.0)
+                state = await self._read_watched(_LONG_POLL_S if in_contact else 0.0)
             except BalsamheadError as exc:
                 in_contact = False
                 self.record_store_result(exc)
@@ -138,9 +147,25 @@
             if state.config is None or unchanged:
                 # a store with stale records responds at once; don't poll it in a busy loop
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
-            elif state.offset > offset and self._get_reader_rank() > 0:
+            elif state.offset > offset and self._rank_as_reader(self._list_peers()) > 0:
                 await asyncio.sleep(_READER_OFFSET_S)
 
+    async def _read_watched(self, wait_s: float) -> OperatorState:
+        """Read the state; meanwhile, let other nodes read if the store is silent to this one."""
+        if self.offset < 0:
+            # the response holds the whole state, so it may take long
+            return await self._read(wait_s)
+        timer = self._loop.call_later(wait_s + _SILENCE_S, self._record_silence)
+        try:
+            return await self._read(wait_s)
+        finally:
+            timer.cancel()
+
+    def _record_silence(self) -> None:
+        self.record_store_result(
+            LogUnavailableError("the store has not responded yet", step="read-records")
+        )
+
     async def _read(self, wait_s: float) -> OperatorState:
         read = self._records.read_operator_state(self.state, wait_s=wait_s)
         if wait_s > 0.0 and self._loop.time() >= self._hedge_allowed_at:
--- a/standin/platform_store.py
+++ b/standin/platform_store.py
@@ -37,6 +37,8 @@
         self.lost_responses = 0
         #: delay before each request is processed, in s
         self.delay_s = 0.0
+        #: client hosts whose requests, new or in progress, get no response
+        self.silent_hosts: set[str] = set()
         #: client hosts whose requests are refused with 503
         self.refused_hosts: set[str] = set()
         #: number of newest records that are not yet visible to reads
@@ -134,18 +136,21 @@
 
     async def _handle(self, request: Request) -> Reply:
         reply = await self._process(request)
-        if self.faults.silent:
+        if self._is_silent_for(request):
             # the response is lost, and the connection returns nothing further
             await asyncio.sleep(3600)
         return reply._replace(headers=reply.headers + b"Store-Era: %d\r\n" % self.era)
 
+    def _is_silent_for(self, request: Request) -> bool:
+        return self.faults.silent or request.peer.split(":")[0] in self.faults.silent_hosts
+
     async def _process(self, request: Request) -> Reply:
         path = request.head.path
         self.calls.append(path)
         if path == "/log-read":
             self.read_times.append(asyncio.get_running_loop().time())
         faults = self.faults
-        if faults.silent:
+        if self._is_silent_for(request):
             await asyncio.sleep(3600)
         if faults.delay_s:
             await asyncio.sleep(faults.delay_s)
--- a/tests/test_mesh/test_configuration.py
+++ b/tests/test_mesh/test_configuration.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from balsamhead.mesh._peers import rank_nodes
 from tests.test_mesh.builders import (
     NODE_1,
     NODE_2,
@@ -89,6 +90,29 @@
     run_virtual(main)
 
 
+# CONFIG: the paths of all readers to the store went silent, and others took over too late.
+@pytest.mark.parametrize("silent_nodes", [2, 3, 4])
+@pytest.mark.parametrize("delay_s", [0.02, 0.3, 0.55, 0.75])
+def test_change_is_in_force_in_time_while_the_store_is_silent_to_its_readers(
+    silent_nodes: int, delay_s: float
+) -> None:
+    async def main() -> None:
+        settings = [
+            make_settings(number, place=("east-a", "west-a")[number % 2]) for number in range(1, 10)
+        ]
+        cluster, send_request = await start_cluster(*settings)
+        ranked = rank_nodes([cfg.node for cfg in settings], "readers")
+        silent = [cfg for cfg in settings if cfg.node in ranked[:silent_nodes]]
+        cluster.store.faults.silent_hosts = {cfg.peer_address.rpartition(":")[0] for cfg in silent}
+        await asyncio.sleep(delay_s)
+        cluster.store.put("keyed.op", "config", make_config(2, new=make_route(path_prefix="/new/")))
+        await asyncio.sleep(2.0)
+        for cfg in settings:
+            assert (await send_request(cfg, "/new/1")).status == 200
+
+    run_virtual(main)
+
+
 # Reads that repeat overdue ones must not feed the shortage that makes responses late.
 def test_slow_store_gets_few_more_reads() -> None:
     async def main() -> None:
