Share the slack of the retry budget with nodes that can't be reached

Cause: a node's part of the slack was that of the nodes it reached, so each part of a divided mesh used the whole slack, and a single node cut off half of it. Change: all known nodes count.

--- a/balsamhead/mesh/_budget.py
+++ b/balsamhead/mesh/_budget.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Final
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 __all__ = ("RetryBudget",)
 
@@ -17,12 +20,18 @@
 class RetryBudget:
     """Allow retries in proportion to the requests of a sliding window, per service."""
 
-    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(
+        self, *, ratio: float, slack: float, window_s: float, count_nodes: Callable[[], int]
+    ) -> None:
+        """Create the budget of a node.
+
+        :param count_nodes: returns the number of nodes that share the slack. Nodes that can't be
+            reached count as well: they may be at work in another part of a divided mesh.
+        """
         self.configure(ratio=ratio, slack=slack, window_s=window_s)
+        self._count_nodes = count_nodes
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
-        #: number of nodes that share the slack
-        self.node_count = 1
 
     def configure(self, *, ratio: float, slack: float, window_s: float) -> None:
         """Apply the budget of the mesh.
@@ -48,7 +57,7 @@
         requests = self._requests.setdefault(service, deque())
         self._expire(retries, now)
         self._expire(requests, now)
-        allowed = self._ratio * len(requests) + self._slack / self.node_count
+        allowed = self._ratio * len(requests) + self._slack / self._count_nodes()
         if len(retries) + 1 > allowed * fraction:
             return False
         retries.append(now)
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -125,7 +125,10 @@
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
         self._crash_exchange = CrashExchange(self._crash_registry, link_manager=self._link_manager)
         self._budget = RetryBudget(
-            ratio=cfg.retry_ratio, slack=cfg.retry_slack, window_s=cfg.retry_window
+            ratio=cfg.retry_ratio,
+            slack=cfg.retry_slack,
+            window_s=cfg.retry_window,
+            count_nodes=lambda: len(self._link_manager.table.peers) + 1,
         )
         upstream_index = UpstreamIndex(
             cfg, link_manager=self._link_manager, local=self._local_upstream, rng=rng
@@ -297,8 +300,6 @@
     def _tick(self) -> None:
         # schedule the next run first, so that an exception here does not end the series
         self._timers[:] = [self._loop.call_later(_TICK_INTERVAL_S, self._tick)]
-        live = self._link_manager.list_live()
-        self._budget.node_count = len(live) + 1
         self._sync.pull_if_behind()
         if self._describe_upstream() != self._announced_upstream:
             self._upstream_changed()
--- a/tests/test_mesh/test_selection.py
+++ b/tests/test_mesh/test_selection.py
@@ -112,10 +112,11 @@
 
 def test_retries_of_all_nodes_stay_within_the_mesh_budget_in_any_window() -> None:
     nodes = 13
-    budgets = [RetryBudget(ratio=0.2, slack=64, window_s=10.0) for _ in range(nodes)]
+    budgets = [
+        RetryBudget(ratio=0.2, slack=64, window_s=10.0, count_nodes=lambda: nodes)
+        for _ in range(nodes)
+    ]
     retry_times: list[float] = []
-    for budget in budgets:
-        budget.node_count = nodes
     for step in range(6000):
         now = step * 0.005
         for budget in budgets:
@@ -129,7 +130,7 @@
 
 
 def test_limited_fraction_leaves_the_rest_of_the_budget_to_other_retries() -> None:
-    budget = RetryBudget(ratio=0.2, slack=0.0, window_s=10.0)
+    budget = RetryBudget(ratio=0.2, slack=0.0, window_s=10.0, count_nodes=lambda: 1)
     for _ in range(100):
         budget.record_request("desk", 1.0)
     limited = sum(budget.try_acquire("desk", 1.0, fraction=0.2) for _ in range(100))
