Keep a recalled departure known while nodes and peers restart in turn

Cause: a node that had restarted and heard no announcement yet kept the notice that a peer returned to itself. A peer that restarted meanwhile never got it, and the last copy went with the other peer.

Change: before the first announcement, the recalled notice is the node's own, and is told to all peers; of several the newest counts, as at the peers.

Evidence: test_departure_outlives_restarts_of_all_nodes_in_turn_between_ announcements, the listed chain; it failed before.

--- a/balsamhead/mesh/_peers.py
+++ b/balsamhead/mesh/_peers.py
@@ -13,7 +13,7 @@
 
     from balsamhead.mesh._link import Link
 
-__all__ = ("Heartbeat", "Hello", "Peer", "PeerTable", "UpstreamView", "rank_nodes")
+__all__ = ("Heartbeat", "Hello", "Peer", "PeerTable", "UpstreamView", "merge_notices", "rank_nodes")
 
 #: time constant with which confidence in a reported load decays, in s
 _LOAD_DECAY_S: Final = 1.0
@@ -120,11 +120,7 @@
 
         An incarnation that leaves never returns, even if its node has forgotten that it leaves.
         """
-        known = self.notice
-        if known is not None and notice.started_at_ms < known.started_at_ms:
-            return
-        left = known is not None and known.leaving and known[:2] == notice[:2]
-        self.notice = notice._replace(leaving=notice.leaving or left)
+        self.notice = merge_notices(self.notice, notice)
 
     def is_upstream_leaving(self) -> bool:
         """Return whether the peer's announced upstream is known to leave."""
@@ -196,6 +192,19 @@
         return peer
 
 
+def merge_notices(known: UpstreamNotice | None, notice: UpstreamNotice) -> UpstreamNotice:
+    """Return the newer of two notices of a node's upstreams.
+
+    An incarnation that leaves never returns, whichever of two notices of it says so.
+    """
+    if known is None:
+        return notice
+    if notice.started_at_ms < known.started_at_ms:
+        return known
+    left = known.leaving and known[:2] == notice[:2]
+    return notice._replace(leaving=notice.leaving or left)
+
+
 def rank_nodes(names: Iterable[str], topic: str) -> list[str]:
     """Order nodes by rendezvous hashing; nodes that know the same names get the same order."""
 
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -19,6 +19,7 @@
 from balsamhead.mesh._connection_pool import ConnectionPool
 from balsamhead.mesh._crash_guard import TRIAL_CODES, CrashGuard
 from balsamhead.mesh._departures import Departures
+from balsamhead.mesh._peers import merge_notices
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
 from balsamhead.mesh._upstream_statistics import UpstreamStatistics
@@ -171,9 +172,11 @@
         """Adopt a notice that a peer has kept from this node's previous run."""
         if notice.leaving:
             self._departures.add_incarnation(notice.upstream_id, notice.started_at_ms)
-        self._recalled = notice
+        self._recalled = merge_notices(self._recalled, notice)
         current = self.record
         if current is None:
+            # a peer that has restarted doesn't know the notice any more
+            self._on_change()
             return
         self._adopt_recalled_limit(current)
         if self._precedes_recalled(current):
@@ -248,10 +251,13 @@
         return self._slots.get_limit_delay(ahead=len(self._slots))
 
     def get_notice(self) -> UpstreamNotice | None:
-        """Return what the upstream says of itself in its responses; None if there is none."""
+        """Return what the upstream says of itself in its responses; None if nothing is known.
+
+        Before the first announcement, that is what a peer has kept from this node's previous run.
+        """
         record = self.record
         if record is None:
-            return None
+            return self._recalled
         leaving = self._departures.has_left(record)
         return UpstreamNotice(record.id, record.started_at_ms, self._slots.limit_per_s, leaving)
 
--- a/tests/test_mesh/test_departure_machine.py
+++ b/tests/test_mesh/test_departure_machine.py
@@ -154,3 +154,20 @@
 TestDeparturesAcrossRestarts.settings = settings(
     max_examples=150, stateful_step_count=25, deadline=None
 )
+
+
+# DRAIN: a node that had restarted kept a recalled departure to itself until the next announcement.
+def test_departure_outlives_restarts_of_all_nodes_in_turn_between_announcements() -> None:
+    machine = DeparturesAcrossRestarts()
+    machine.restart_node()
+    machine.link()
+    machine.announce(UpstreamState.DRAINING)
+    for number in (1, 0):
+        machine.restart_node()
+        machine.link()
+        machine.restart_peer(number)
+    machine.restart_node()
+    machine.announce(UpstreamState.READY)
+    machine.link()
+    machine.upstream_that_has_left_gets_no_requests()
+    machine.teardown()
