Check links only when something is due on them, and list live peers less often

Change: a link is skipped until its next heartbeat or its silence is due; a peer knows whether it is nearby; the hashes of names are cached; a node that lacks nothing lists no peers; one heartbeat is encoded for all links of a pass.

--- a/balsamhead/mesh/_link_manager.py
+++ b/balsamhead/mesh/_link_manager.py
@@ -33,6 +33,13 @@
 _DEAD_INTERVALS: Final = 3.0
 #: time allowed for the reply to a heartbeat, in s
 _HEARTBEAT_REPLY_S: Final = 0.1
+#: silence after which a peer within a data centre, and in another one, gets no calls, in s
+_NEARBY_SUSPECT_TIMEOUT_S: Final = (
+    _SUSPECT_INTERVALS * _NEARBY_HEARTBEAT_INTERVAL_S + _HEARTBEAT_REPLY_S
+)
+_REMOTE_SUSPECT_TIMEOUT_S: Final = (
+    _SUSPECT_INTERVALS * _REMOTE_HEARTBEAT_INTERVAL_S + _HEARTBEAT_REPLY_S
+)
 #: timeout of a connection attempt to a peer, in s
 _DIAL_TIMEOUT_S: Final = 0.6
 #: exponential backoff between connection attempts to a peer, in s: first and longest delay
@@ -131,7 +138,7 @@
 
     def get_suspect_timeout(self, peer: Peer) -> float:
         """Return the silence after which a peer gets no calls, in s."""
-        return _SUSPECT_INTERVALS * self._get_heartbeat_interval(peer) + _HEARTBEAT_REPLY_S
+        return _NEARBY_SUSPECT_TIMEOUT_S if peer.nearby else _REMOTE_SUSPECT_TIMEOUT_S
 
     def list_live(self) -> list[Peer]:
         """Return the peers with an open link that has received data within the suspect timeout."""
@@ -168,6 +175,7 @@
         one is closed if this node dialled it and it carries no calls.
         """
         current = self.get_link(peer)
+        peer.check_at = 0.0
         self.epoch += 1
         if current is None or current is link or current.dialled == link.dialled:
             peer.link = link
@@ -193,7 +201,7 @@
         """Schedule a load report to the peers of this data centre; reports are rate-limited."""
         if self._load_timer is not None:
             return
-        nearby_peers = sum(1 for peer in self.table.peers.values() if self._is_nearby(peer))
+        nearby_peers = sum(peer.nearby for peer in self.table.peers.values())
         earliest = self._load_sent_at + _LOAD_REPORT_SPACING_S * nearby_peers
         self._load_timer = self._loop.call_at(
             max(earliest, self._loop.time() + 0.001), self._send_load
@@ -207,29 +215,46 @@
             _MAINTENANCE_INTERVAL_S, self._maintain_links
         )
         now = self._loop.time()
+        heartbeat_due = []
         for peer in list(self.table.peers.values()):
-            self._maintain_link(peer, now)
-
-    def _maintain_link(self, peer: Peer, now: float) -> None:
+            if now >= peer.check_at and self._maintain_link(peer, now):
+                heartbeat_due.append(peer)
+        if heartbeat_due:
+            self._send_heartbeats(heartbeat_due, now)
+
+    def _send_heartbeats(self, peers: list[Peer], now: float) -> None:
+        data = encode_frame(FrameKind.HEARTBEAT, 0, self._handler.make_heartbeat())
+        for peer in peers:
+            self._heartbeat_sent_at[peer.record.name] = now
+            if peer.link is not None:
+                peer.link.send_encoded(data)
+
+    def _maintain_link(self, peer: Peer, now: float) -> bool:
+        """Dial a peer without a link, close a silent one; return whether a heartbeat is due."""
         link = peer.link
         if link is None or not link.is_open():
             if not peer.dialling and now >= peer.dial_at:
                 self._dial(peer)
-            return
-        interval = self._get_heartbeat_interval(peer)
+            return False
+        interval = _NEARBY_HEARTBEAT_INTERVAL_S if peer.nearby else _REMOTE_HEARTBEAT_INTERVAL_S
         name = peer.record.name
         if not link.dialled:
             # only the dialling node starts heartbeats, and it checks once per maintenance interval
             interval += _MAINTENANCE_INTERVAL_S
-        if now - link.last_received_at > _DEAD_INTERVALS * interval + _HEARTBEAT_REPLY_S:
+        silent_at = link.last_received_at + _DEAD_INTERVALS * interval + _HEARTBEAT_REPLY_S
+        if now > silent_at:
             logger.warning(
                 "link-silent",
                 extra={"peer": name, "silence_s": round(now - link.last_received_at, 2)},
             )
             link.close("silent")
-        elif link.dialled and now - self._heartbeat_sent_at.get(name, 0.0) >= interval:
-            self._heartbeat_sent_at[name] = now
-            link.send(FrameKind.HEARTBEAT, 0, self._handler.make_heartbeat())
+            return False
+        if not link.dialled:
+            peer.check_at = silent_at
+            return False
+        heartbeat_at = self._heartbeat_sent_at.get(name, 0.0) + interval
+        peer.check_at = min(silent_at, heartbeat_at)
+        return now >= heartbeat_at
 
     def _dial(self, peer: Peer) -> None:
         peer.dialling = True
@@ -265,14 +290,6 @@
             self.epoch += 1
             logger.info("peer-forgotten", extra={"peer": peer.record.name})
 
-    def _get_heartbeat_interval(self, peer: Peer) -> float:
-        return (
-            _NEARBY_HEARTBEAT_INTERVAL_S if self._is_nearby(peer) else _REMOTE_HEARTBEAT_INTERVAL_S
-        )
-
-    def _is_nearby(self, peer: Peer) -> bool:
-        return peer.record.data_centre == self._own_record.data_centre
-
     def _send_load(self) -> None:
         self._load_timer = None
         load = self.get_load()
@@ -283,7 +300,7 @@
         self._load_sent_at = self._loop.time()
         data = encode_frame(FrameKind.LOAD, 0, load)
         for peer in self.table.peers.values():
-            if self._is_nearby(peer) and (link := self.get_link(peer)):
+            if peer.nearby and (link := self.get_link(peer)):
                 link.send_encoded(data)
 
     # -- link events -----------------------------------------------------------------------
@@ -299,6 +316,7 @@
         peer = self.table.peers.get(link.peer)
         if peer is not None and peer.link is link:
             peer.link = None
+            peer.check_at = 0.0
             self.epoch += 1
             precedence_s = 0.0 if self._own_record.name < link.peer else _DIAL_PRECEDENCE_S
             peer.dial_at = (
--- a/balsamhead/mesh/_peers.py
+++ b/balsamhead/mesh/_peers.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import math
+from functools import lru_cache
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.mesh.model import Load, NodeRecord, UpstreamNotice
@@ -15,6 +16,8 @@
 
 __all__ = ("Heartbeat", "Hello", "Peer", "PeerTable", "UpstreamView", "merge_notices", "rank_nodes")
 
+#: maximum number of cached hashes of a topic and a node's name
+_MAX_CACHED_HASHES: Final = 4096
 #: time constant with which confidence in a reported load decays, in s
 _LOAD_DECAY_S: Final = 1.0
 #: utilisation of a peer's slots that is assumed without a recent report, 0 to 1
@@ -62,6 +65,7 @@
     __slots__ = (
         "_in_flight_at_report",
         "backoff_until",
+        "check_at",
         "dial_at",
         "dialling",
         "failed_dials",
@@ -70,6 +74,7 @@
         "link",
         "load",
         "load_reported_at",
+        "nearby",
         "notice",
         "offset",
         "record",
@@ -79,8 +84,10 @@
         "upstream",
     )
 
-    def __init__(self, record: NodeRecord) -> None:
+    def __init__(self, record: NodeRecord, *, nearby: bool = False) -> None:
         self.record = record
+        #: the peer is in the data centre of this node
+        self.nearby = nearby
         #: the link that is used for frames in both directions
         self.link: Link | None = None
         self.upstream: UpstreamView | None = None
@@ -99,6 +106,8 @@
         self.rollout_checksum = 0
         self.stopping = False
         self.store_failed = False
+        #: nothing is due on the link before this time, in s of the loop's clock
+        self.check_at = 0.0
         self.dialling = False
         self.dial_at = 0.0
         self.failed_dials = 0
@@ -183,11 +192,13 @@
         """
         if record.name == self.own.name:
             return None
+        nearby = record.data_centre == self.own.data_centre
         peer = self.peers.get(record.name)
         if peer is None:
-            peer = self.peers[record.name] = Peer(record)
+            peer = self.peers[record.name] = Peer(record, nearby=nearby)
         elif record.address != peer.record.address:
             peer.record = record
+            peer.nearby = nearby
             peer.dial_at = 0.0
         return peer
 
@@ -207,8 +218,9 @@
 
 def rank_nodes(names: Iterable[str], topic: str) -> list[str]:
     """Order nodes by rendezvous hashing; nodes that know the same names get the same order."""
+    return sorted(names, key=lambda name: _hash_name(topic, name))
 
-    def hash_name(name: str) -> bytes:
-        return hashlib.blake2b(f"{topic}/{name}".encode(), digest_size=8).digest()
 
-    return sorted(names, key=hash_name)
+@lru_cache(maxsize=_MAX_CACHED_HASHES)
+def _hash_name(topic: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{topic}/{name}".encode(), digest_size=8).digest()
--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -221,18 +221,21 @@
 
     def pull_if_behind(self) -> None:
         """Request the missing changes if a peer holds a later state, from one peer at a time."""
-        peer = self._pull.start(self.offset, self._link_manager.list_live(), self._loop.time())
+        offset = self.offset
+        if all(peer.offset <= offset for peer in self._link_manager.table.peers.values()):
+            return
+        peer = self._pull.start(offset, self._link_manager.list_live(), self._loop.time())
         if peer is None or peer.link is None:
             return
         logger.info(
             "state-requested",
             extra={
                 "peer": peer.record.name,
-                "base": get_offset(self.offset) if self.offset >= 0 else -1,
+                "base": get_offset(offset) if offset >= 0 else -1,
                 "offset": get_offset(peer.offset),
             },
         )
-        peer.link.send(FrameKind.CONFIG_PULL, 0, (self.offset,))
+        peer.link.send(FrameKind.CONFIG_PULL, 0, (offset,))
 
     def send_delta(self, link: Link, base: int) -> None:
         """Send a peer the delta from offset ``base``, if this node holds a newer state."""
