Keep refusals of crashing requests in the store, for when all nodes have ended

Cause: the refusals were in the memory of the nodes alone.

Change: the node of the upstream whose crash begins a refusal writes it, with the crashes that decided it, to the topic that each node reads at its start anyway, and deletes it when it is over. It costs no read, and a write and a deletion for each refusal.

A restored store may lack a refusal.

--- a/balsamhead/mesh/_crash_registry.py
+++ b/balsamhead/mesh/_crash_registry.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.errors import MalformedMessageError
+from balsamhead.mesh.model import MAX_INTEGER, Crash
 from balsamhead.util.recent import RecentValues
 from balsamhead.util.suspects import FINGERPRINT_BYTES, SuspectTable
 
@@ -16,7 +17,6 @@
 
 __all__ = (
     "CRASHING_REQUEST",
-    "Crash",
     "CrashRegistry",
     "SuspectRow",
     "check_rows",
@@ -42,21 +42,6 @@
 _MAX_SERVICE_CHARS: Final = 256
 
 
-class Crash(NamedTuple):
-    """A crash of an upstream, as it concerns one request that was running."""
-
-    #: node beside the upstream
-    node: str
-    #: start of the incarnation that crashed, in ms since the epoch
-    started_at_ms: int
-    #: the request was sent although an earlier crash under an equal one was known
-    repeated: bool
-    #: no request but equal ones was running
-    alone: bool
-    #: service of the VM that the request came from
-    caller_service: str = ""
-
-
 class SuspectRow(NamedTuple):
     """A request that was running in a crash."""
 
@@ -92,6 +77,9 @@
         self.on_crash: Callable[[list[SuspectRow]], None] = lambda rows: None
         #: called with the known crashes under a request that this node's upstream has completed
         self.on_clear: Callable[[list[SuspectRow]], None] = lambda rows: None
+        #: called with a fingerprint and the duration of its refusal, in s, if that begins with a
+        #: crash of this node's upstream
+        self.on_refusal: Callable[[bytes, float], None] = lambda fingerprint, time_s: None
 
     def __len__(self) -> int:
         return len(self._suspects)
@@ -119,6 +107,10 @@
         crashes = self._suspects.get_crashes(fingerprint)
         return _count_incarnations(crashes) >= _TRIAL_THRESHOLD
 
+    def get_crashes(self, fingerprint: bytes) -> list[Crash]:
+        """Return the crashes under a request."""
+        return self._suspects.get_crashes(fingerprint)
+
     def list_rows(self) -> list[SuspectRow]:
         """Return all suspected requests with their crashes."""
         return [SuspectRow(*row) for row in self._suspects.list_crashes()]
@@ -152,8 +144,10 @@
             )
             for (fingerprint, caller_service), was_repeated in repeated.items()
         ]
-        self.add(rows, now)
+        refusals = self.add(rows, now)
         self.on_crash(rows)
+        for fingerprint, refusal_s in refusals.items():
+            self.on_refusal(fingerprint, refusal_s)
 
     def record_completion(self, fingerprint: bytes, caller_service: str) -> None:
         """Clear a request of a service, since this node's upstream has completed it."""
@@ -162,14 +156,19 @@
             self.clear(rows)
             self.on_clear(rows)
 
-    def add(self, rows: Iterable[SuspectRow], now: float) -> None:
-        """Add crashes; one that is known already doesn't count again."""
+    def add(self, rows: Iterable[SuspectRow], now: float) -> dict[bytes, float]:
+        """Add crashes; one that is known already doesn't count again.
+
+        :returns: the durations of the refusals that begin, in s, by fingerprint.
+        """
+        refusals = {}
         for fingerprint, crash in rows:
             if not self._remember(fingerprint, crash):
                 continue
             self._cleared_callers.get(fingerprint, set()).discard(crash.caller_service)
             refusal_s = self._suspects.add(fingerprint, crash, now)
             if refusal_s:
+                refusals[fingerprint] = refusal_s
                 logger.warning(
                     "crashing-request-refused",
                     extra={
@@ -180,6 +179,7 @@
                         "time_s": refusal_s,
                     },
                 )
+        return refusals
 
     def clear(self, rows: Iterable[SuspectRow]) -> None:
         """Clear requests of services, since an upstream has completed them.
@@ -246,7 +246,7 @@
     for fingerprint, crash in rows:
         if (
             len(fingerprint) != FINGERPRINT_BYTES
-            or not 0 <= crash.started_at_ms < 1 << 63
+            or not 0 <= crash.started_at_ms <= MAX_INTEGER
             or len(crash.caller_service) > _MAX_SERVICE_CHARS
         ):
             raise MalformedMessageError(
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -10,12 +10,15 @@
 __all__ = (
     "MAX_INTEGER",
     "Config",
+    "Crash",
+    "Directory",
     "Limits",
     "Load",
     "NodeRecord",
     "OperatorState",
     "Order",
     "Phase",
+    "Refusal",
     "Rollout",
     "Route",
     "RouteKind",
@@ -190,6 +193,37 @@
             raise ValueError("empty name, or incarnation out of range")
 
 
+class Crash(NamedTuple):
+    """A crash of an upstream, as it concerns one request that was running."""
+
+    #: node beside the upstream
+    node: str
+    #: start of the incarnation that crashed, in ms since the epoch
+    started_at_ms: int
+    #: the request was sent although an earlier crash under an equal one was known
+    repeated: bool
+    #: no request but equal ones was running
+    alone: bool
+    #: service of the VM that the request came from
+    caller_service: str = ""
+
+
+class Refusal(NamedTuple):
+    """A request that is refused since upstreams have crashed under it."""
+
+    fingerprint: bytes
+    crashes: tuple[Crash, ...]
+    #: when the refusal ends, in ms since the epoch
+    expires_at_ms: int
+
+
+class Directory(NamedTuple):
+    """What nodes keep in the store for each other."""
+
+    nodes: list[NodeRecord]
+    refusals: list[Refusal]
+
+
 class Phase(StrEnum):
     """Phase of a rollout."""
 
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -16,6 +16,7 @@
 from balsamhead.mesh._link_manager import LinkManager, PeerEventHandler
 from balsamhead.mesh._metrics import MeshMetrics
 from balsamhead.mesh._peers import Heartbeat, Hello, Peer, UpstreamView
+from balsamhead.mesh._refusal_archive import RefusalArchive
 from balsamhead.mesh._request_router import RequestRouter
 from balsamhead.mesh._rollout_exchange import RolloutExchange
 from balsamhead.mesh._server import HttpServer, Reply, Request
@@ -124,6 +125,7 @@
         )
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
         self._crash_exchange = CrashExchange(self._crash_registry, link_manager=self._link_manager)
+        self._refusal_archive = RefusalArchive(self._crash_registry, records)
         self._budget = RetryBudget(
             ratio=cfg.retry_ratio,
             slack=cfg.retry_slack,
@@ -226,6 +228,7 @@
             timer.cancel()
         for task in self._tasks:
             task.cancel()
+        self._refusal_archive.stop()
         for server in (self._caller_server, *self._internal_servers):
             server.stop_listening()
         self._link_manager.stop()
@@ -270,17 +273,18 @@
                 if written_era < self._store.era:
                     await self._records.write_node(self._own_record)
                     written_era = self._store.era
-                nodes = await self._records.read_nodes()
+                directory = await self._records.read_directory()
                 if written_era == self._store.era:
                     break
             except LogError as exc:
                 self._sync.record_store_result(exc)
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
-        for record in nodes:
+        for record in directory.nodes:
             self._link_manager.add_node(record)
+        self._refusal_archive.restore(directory.refusals)
         self._links_deadline = self._loop.time() + _READY_LINK_TIMEOUT_S
         self._registered_era = written_era
-        logger.info("nodes-loaded", extra={"nodes": len(nodes), "era": written_era})
+        logger.info("nodes-loaded", extra={"nodes": len(directory.nodes), "era": written_era})
 
     async def _register_again(self) -> None:
         """Register in a later era of the store, which may have lost the record of this node."""
--- a/balsamhead/mesh/_records.py
+++ b/balsamhead/mesh/_records.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from balsamhead.mesh.model import NodeRecord, OperatorState, Rollout
+    from balsamhead.mesh.model import Directory, NodeRecord, OperatorState, Refusal, Rollout
 
-__all__ = ("RecordStore", "RolloutStore")
+__all__ = ("RecordStore", "RefusalStore", "RolloutStore")
 
 
 class RolloutStore(Protocol):
@@ -27,7 +27,23 @@
         """
 
 
-class RecordStore(RolloutStore, Protocol):
+class RefusalStore(Protocol):
+    """Persistent refusals of requests that crash upstreams, for nodes that start later."""
+
+    async def write_refusal(self, refusal: Refusal) -> None:
+        """Write a refusal in place of an earlier one of the same fingerprint.
+
+        :raises LogError: the write failed, or its outcome is unknown.
+        """
+
+    async def delete_refusal(self, fingerprint: bytes) -> None:
+        """Delete the refusal of a fingerprint.
+
+        :raises LogError: the write failed, or its outcome is unknown.
+        """
+
+
+class RecordStore(RolloutStore, RefusalStore, Protocol):
     """Persistent state of the operator, and records of the nodes."""
 
     async def read_operator_state(self, known: OperatorState, *, wait_s: float) -> OperatorState:
@@ -42,8 +58,8 @@
         :raises LogError: the write failed, or its outcome is unknown.
         """
 
-    async def read_nodes(self) -> list[NodeRecord]:
-        """Return the records of all nodes.
+    async def read_directory(self) -> Directory:
+        """Return the records of all nodes, and the refusals.
 
         :raises LogError: the store gave no valid response.
         """
--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -6,13 +6,21 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeVar
 
 import cbor2
 import msgspec
 
 from balsamhead.errors import LogExpiredError, MalformedMessageError
-from balsamhead.mesh.model import NodeRecord, OperatorState, Order, Phase, Rollout
+from balsamhead.mesh.model import (
+    Directory,
+    NodeRecord,
+    OperatorState,
+    Order,
+    Phase,
+    Refusal,
+    Rollout,
+)
 from balsamhead.platform.messages import (
     CONFIG_KEY,
     ROLLOUT_KEY_PREFIX,
@@ -33,10 +41,15 @@
 
 logger = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 _OPERATOR_TOPIC: Final = "keyed.op"
 _STATUS_TOPIC: Final = "keyed.status"
 _NODES_TOPIC: Final = "keyed.nodes"
-#: largest record of a node that is decoded, in bytes; decoding a large one takes long
+#: prefix of the keys of refusals in the topic of the nodes, before the fingerprint in hexadecimal
+_REFUSAL_KEY_PREFIX: Final = "refusal/"
+#: largest record in the topic of the nodes that is decoded, in bytes; decoding a large one takes
+#: long
 _MAX_NODE_BYTES: Final = 4096
 
 
@@ -107,21 +120,40 @@
         value = cbor2.dumps(msgspec.to_builtins(record))
         await self._store.append_keyed(_NODES_TOPIC, record.name, value)
 
-    async def read_nodes(self) -> list[NodeRecord]:
-        """Return the records of all nodes, without those that can't be decoded.
+    async def write_refusal(self, refusal: Refusal) -> None:
+        """Write a refusal in place of an earlier one of the same fingerprint.
+
+        :raises LogError: the record was not written, or it is unknown whether it was.
+        """
+        await self._store.append_keyed(
+            _NODES_TOPIC, _make_refusal_key(refusal.fingerprint), codec.encode(refusal)
+        )
+
+    async def delete_refusal(self, fingerprint: bytes) -> None:
+        """Delete the refusal of a fingerprint.
+
+        :raises LogError: the record was not deleted, or it is unknown whether it was.
+        """
+        await self._store.append_keyed(_NODES_TOPIC, _make_refusal_key(fingerprint), b"")
+
+    async def read_directory(self) -> Directory:
+        """Return the records of all nodes and the refusals, without those that can't be decoded.
 
         :raises LogError: the store gave no valid response.
         """
         newest = await self._store.read_newest(_NODES_TOPIC)
-        nodes = []
+        directory = Directory([], [])
         for record in newest.records:
             try:
-                nodes.append(_decode_node(record))
+                if record.key.startswith(_REFUSAL_KEY_PREFIX):
+                    directory.refusals.append(_decode_refusal(record))
+                else:
+                    directory.nodes.append(_decode_node(record))
             except MalformedMessageError as exc:
                 logger.warning(
                     "node-record-malformed", extra={"key": record.key, "error": str(exc)}
                 )
-        return nodes
+        return directory
 
     async def read_rollouts(self) -> list[Rollout]:
         """Return the recorded states of all rollouts, without those that can't be decoded.
@@ -198,9 +230,7 @@
 
 
 def _decode_node(record: KeyedRecord) -> NodeRecord:
-    if len(record.value) > _MAX_NODE_BYTES:
-        raise MalformedMessageError("record is too large", step="decode-node")
-    node = codec.decode(record.value, NodeRecord, step="decode-node")
+    node = _decode(record, NodeRecord, step="decode-node")
     try:
         node.check()
     except ValueError as exc:
@@ -208,3 +238,20 @@
     if node.name != record.key:
         raise MalformedMessageError(f"record is of node {node.name[:80]!r}", step="decode-node")
     return node
+
+
+def _make_refusal_key(fingerprint: bytes) -> str:
+    return _REFUSAL_KEY_PREFIX + fingerprint.hex()
+
+
+def _decode_refusal(record: KeyedRecord) -> Refusal:
+    refusal = _decode(record, Refusal, step="decode-refusal")
+    if _make_refusal_key(refusal.fingerprint) != record.key:
+        raise MalformedMessageError("record is of another request", step="decode-refusal")
+    return refusal
+
+
+def _decode(record: KeyedRecord, kind: type[T], *, step: str) -> T:
+    if len(record.value) > _MAX_NODE_BYTES:
+        raise MalformedMessageError("record is too large", step=step)
+    return codec.decode(record.value, kind, step=step)
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -42,6 +42,7 @@
     ),
     ("_server", "_upstream_connection", "_link", "_request_trace", "_crash_detector"),
     ("_crash_registry",),
+    ("_refusal_archive",),
     ("_peers", "_connection_pool"),
     ("_crash_guard",),
     ("_upstream",),
--- a/tests/test_mesh/test_crashing_copies.py
+++ b/tests/test_mesh/test_crashing_copies.py
@@ -244,3 +244,27 @@
         assert [len(registry) for registry in get_registries(cluster)] == [0] * 8
 
     run_virtual(main)
+
+
+# BUDGET: nodes that all ended at the same moment had forgotten what they refused.
+@pytest.mark.parametrize("store_is_away", [False, True])
+def test_refusal_outlives_the_end_of_all_nodes_at_the_same_moment(store_is_away: bool) -> None:
+    async def main() -> None:
+        cluster, send_request = await start_fatal_cluster()
+        await send_copies(send_request, NODES, 8)
+        await asyncio.sleep(4.0)
+        cluster.store.faults.status = 503 if store_is_away else 0
+        await send_copies(send_request, NODES, 8)
+        await asyncio.sleep(3.0)
+        cluster.store.faults.status = 0
+        await asyncio.sleep(1.0)
+        members = [cluster.kill(number) for number in range(1, 9)]
+        await asyncio.sleep(0.5)
+        for member in members:
+            await cluster.add(member.cfg, upstream=member.upstream)
+        for _ in range(3):
+            await asyncio.sleep(4.0)
+            assert await send_copies(send_request, NODES, 8) == [503] * 8
+        assert count_late_arrivals(list_fatal_arrivals(cluster)) <= ALLOWED_ARRIVALS
+
+    run_virtual(main)
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -9,13 +9,23 @@
     LogOutcomeUnknownError,
     LogUnavailableError,
 )
-from balsamhead.mesh.model import NodeRecord, OperatorState, Phase, Rollout
+from balsamhead.mesh.model import (
+    Crash,
+    Directory,
+    NodeRecord,
+    OperatorState,
+    Phase,
+    Refusal,
+    Rollout,
+)
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
+from balsamhead.util import codec
 from standin.platform_store import PlatformStore
 from tests.test_mesh.builders import STORE, make_config, run_virtual
 
 UNKNOWN_STATE = OperatorState(-1, None, {})
+REFUSAL = Refusal(b"f" * 16, (Crash("node-1", 7, True, False, "desk"),), 60_000)
 NODE = NodeRecord("node-1", 5, "10.0.0.1:8004", "east-a", "east", "desk")
 
 
@@ -95,7 +105,30 @@
         store, _, records = await start_store()
         await records.write_node(NODE)
         store.put("keyed.nodes", "foreign", b"\xffnothing")
-        assert await records.read_nodes() == [NODE]
+        assert (await records.read_directory()).nodes == [NODE]
+
+    run_virtual(main)
+
+
+def test_refusal_is_read_beside_the_nodes_until_it_is_deleted() -> None:
+    async def main() -> None:
+        _, _, records = await start_store()
+        await records.write_node(NODE)
+        await records.write_refusal(REFUSAL)
+        assert await records.read_directory() == Directory([NODE], [REFUSAL])
+        await records.delete_refusal(REFUSAL.fingerprint)
+        assert await records.read_directory() == Directory([NODE], [])
+
+    run_virtual(main)
+
+
+def test_malformed_refusal_is_skipped() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        await records.write_refusal(REFUSAL)
+        store.put("keyed.nodes", "refusal/foreign", b"\xffnothing")
+        store.put("keyed.nodes", "refusal/other", codec.encode(REFUSAL))
+        assert (await records.read_directory()).refusals == [REFUSAL]
 
     run_virtual(main)
 
@@ -106,7 +139,7 @@
         nodes = [NODE._replace(name=f"node-{number:04}") for number in range(1203)]
         for node in nodes:
             await records.write_node(node)
-        assert await records.read_nodes() == nodes
+        assert (await records.read_directory()).nodes == nodes
 
     run_virtual(main)
 
