Run one request on trial at a time at an upstream, and blame only that one

Cause: after eight crashes at the same moment it was on trial, and so was the request that had caused them, on the same upstream. Both were running when it crashed again, sent again after known crashes, so both were blamed. Before trials a popular request was usually cleared by another copy first.

Change: a node runs one request on trial at a time; three crashes refuse a request only if it was on trial in one of them.

--- a/balsamhead/mesh/_crash_detector.py
+++ b/balsamhead/mesh/_crash_detector.py
@@ -44,14 +44,16 @@
 class RunningRequest:
     """A request that was sent to the upstream and has not ended."""
 
-    __slots__ = ("_body", "_fingerprint", "call", "repeated")
+    __slots__ = ("_body", "_fingerprint", "call", "on_trial", "repeated")
 
-    def __init__(self, call: Call, body: bytes, *, repeated: bool) -> None:
+    def __init__(self, call: Call, body: bytes, *, repeated: bool, on_trial: bool) -> None:
         self.call = call
         self._body = body
         self._fingerprint = b""
         #: an equal request was known to have been running in a crash when this one was sent
         self.repeated = repeated
+        #: it was the only one of the mesh, and no other request was on trial here
+        self.on_trial = on_trial
 
     @property
     def fingerprint(self) -> bytes:
@@ -84,9 +86,11 @@
         self._lost: deque[RunningRequest] = deque(maxlen=_MAX_LOST)
         self._check: asyncio.Task[None] | None = None
 
-    def start(self, call: Call, body: bytes, *, repeated: bool = False) -> RunningRequest:
+    def start(
+        self, call: Call, body: bytes, *, repeated: bool = False, on_trial: bool = False
+    ) -> RunningRequest:
         """Record that a request is sent, and return the record to pass to :meth:`finish`."""
-        request = RunningRequest(call, body, repeated=repeated)
+        request = RunningRequest(call, body, repeated=repeated, on_trial=on_trial)
         self._running.add(request)
         return request
 
@@ -101,10 +105,13 @@
                 if code.startswith("connection-lost") and self._check is None:
                     self._check = self._loop.create_task(self._check_connections())
 
-    def is_running(self, fingerprint: bytes) -> bool:
-        """Return whether an equal request is running, or was lost and its loss is being checked."""
+    def is_busy_for(self, fingerprint: bytes) -> bool:
+        """Return whether an equal request or one on trial runs, or its loss is being checked."""
         lost = self._lost if self._check is not None else ()
-        return any(request.fingerprint == fingerprint for request in (*self._running, *lost))
+        return any(
+            request.on_trial or request.fingerprint == fingerprint
+            for request in (*self._running, *lost)
+        )
 
     def confirm_restart(self) -> None:
         """Report a crash, since a new incarnation has announced itself."""
--- a/balsamhead/mesh/_crash_guard.py
+++ b/balsamhead/mesh/_crash_guard.py
@@ -23,7 +23,7 @@
 
 logger = logging.getLogger(__name__)
 
-#: code of the refusal of a request while an equal one is on trial at this upstream
+#: code of the refusal of a request on trial while an equal or another one on trial runs there
 TRIAL_RUNNING: Final = "trial-running"
 #: code of the refusal of a request that is on trial at another upstream
 TRIAL_ELSEWHERE: Final = "trial-elsewhere"
@@ -35,7 +35,7 @@
     """Admit requests by what is known of crashes, and report those of this VM's upstream.
 
     A request that is on trial is admitted if this upstream is the one that its trials run on, and
-    no equal one is running here.
+    neither an equal one nor another one on trial is running here: a crash then shows which it was.
     """
 
     def __init__(
@@ -71,7 +71,7 @@
             return Refused(CRASHING_REQUEST, refusal_s)
         if not self._registry.is_on_trial(fingerprint, caller):
             return None
-        if self.detector.is_running(fingerprint):
+        if self.detector.is_busy_for(fingerprint):
             return Refused(TRIAL_RUNNING)
         if not self.is_trial_node(fingerprint):
             return Refused(TRIAL_ELSEWHERE)
@@ -79,10 +79,15 @@
 
     def start(self, call: Call, body: bytes) -> RunningRequest:
         """Record that a request is sent, and return the record to pass to :meth:`finish`."""
-        repeated = bool(self._registry) and self._registry.is_suspected(
-            fingerprint_call(call, body)
+        if not self._registry:
+            return self.detector.start(call, body)
+        fingerprint = fingerprint_call(call, body)
+        return self.detector.start(
+            call,
+            body,
+            repeated=self._registry.is_suspected(fingerprint),
+            on_trial=self._registry.is_on_trial(fingerprint, call.caller_service),
         )
-        return self.detector.start(call, body, repeated=repeated)
 
     def finish(self, request: RunningRequest, outcome: Outcome) -> None:
         """Record the end of a request's exchange."""
--- a/balsamhead/mesh/_crash_registry.py
+++ b/balsamhead/mesh/_crash_registry.py
@@ -30,9 +30,10 @@
 _INITIAL_REFUSAL_S: Final = 60.0
 #: number of crashes from which a request runs on one upstream at a time
 _TRIAL_THRESHOLD: Final = 2
-#: number of crashes from which a request is refused
+#: number of crashes from which a request is refused if it was on trial in one of them
 _CRASH_THRESHOLD: Final = 3
-#: the same if in one of the crashes no other request was running
+#: number of crashes from which a request is refused if it was running alone in one of them, and
+#: was sent again after a known one
 _ALONE_CRASH_THRESHOLD: Final = 2
 #: maximum number of remembered reports; a remembered report doesn't count again
 _MAX_SEEN_REPORTS: Final = 8192
@@ -54,8 +55,9 @@
 
     All requests that were running in a crash are suspected. Equal requests count as one, whichever
     service they came from. After a second crash, and after each refusal, a request is on trial:
-    it may run on one upstream of the mesh at a time. One that was sent again, and was running in
-    a crash again, is refused for a time. Crashes at one other node alone refuse nothing here, so
+    it may run on one upstream of the mesh at a time. A request is refused for a time if it was
+    running in three crashes, in one of them on trial, or in two, in one of them alone and in one
+    of them sent again. Crashes at one other node alone refuse nothing here, so
     that no single node's reports can.
 
     A request that an upstream completes is cleared for the service that it came from: the crashes
@@ -132,17 +134,24 @@
         :param requests: what was running.
         :param started_at_ms: start of the incarnation that crashed, in ms since the epoch.
         """
-        repeated: dict[tuple[bytes, str], bool] = {}
+        by_key: dict[tuple[bytes, str], list[RunningRequest]] = {}
         for request in requests:
             key = (request.fingerprint, request.call.caller_service)
-            repeated[key] = request.repeated or repeated.get(key, False)
-        alone = len({fingerprint for fingerprint, _ in repeated}) == 1
+            by_key.setdefault(key, []).append(request)
+        alone = len({fingerprint for fingerprint, _ in by_key}) == 1
         rows = [
             SuspectRow(
                 fingerprint,
-                Crash(self._own_node, started_at_ms, was_repeated, alone, caller_service),
+                Crash(
+                    self._own_node,
+                    started_at_ms,
+                    repeated=any(request.repeated for request in equal_requests),
+                    alone=alone,
+                    caller_service=caller_service,
+                    on_trial=any(request.on_trial for request in equal_requests),
+                ),
             )
-            for (fingerprint, caller_service), was_repeated in repeated.items()
+            for (fingerprint, caller_service), equal_requests in by_key.items()
         ]
         refusals = self.add(rows, now)
         self.on_crash(rows)
@@ -222,14 +231,13 @@
         )
 
     def _is_conclusive(self, crashes: Collection[Crash]) -> bool:
-        if not any(crash.repeated for crash in crashes):
-            return False
         nodes = {crash.node for crash in crashes}
         if len(nodes) == 1 and nodes != {self._own_node}:
             return False
-        was_alone = any(crash.alone for crash in crashes)
-        threshold = _ALONE_CRASH_THRESHOLD if was_alone else _CRASH_THRESHOLD
-        return _count_incarnations(crashes) >= threshold
+        count = _count_incarnations(crashes)
+        if any(crash.alone for crash in crashes) and any(crash.repeated for crash in crashes):
+            return count >= _ALONE_CRASH_THRESHOLD
+        return any(crash.on_trial for crash in crashes) and count >= _CRASH_THRESHOLD
 
 
 def _count_incarnations(crashes: Iterable[Crash]) -> int:
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -206,6 +206,8 @@
     alone: bool
     #: service of the VM that the request came from
     caller_service: str = ""
+    #: the request was on trial: the only one of the mesh, and no other one on trial was running
+    on_trial: bool = False
 
 
 class Refusal(NamedTuple):
--- a/tests/test_mesh/test_crash_detector.py
+++ b/tests/test_mesh/test_crash_detector.py
@@ -125,12 +125,24 @@
         upstream = Upstream()
         upstream.probe_result = ProbeResult.ALIVE
         running = upstream.start(b"r1")
-        assert upstream.detector.is_running(running.fingerprint)
-        assert not upstream.detector.is_running(b"o" * 16)
+        assert upstream.detector.is_busy_for(running.fingerprint)
+        assert not upstream.detector.is_busy_for(b"o" * 16)
         upstream.detector.finish(running, LOST)
-        assert upstream.detector.is_running(running.fingerprint)
+        assert upstream.detector.is_busy_for(running.fingerprint)
         await asyncio.sleep(0.1)
-        assert not upstream.detector.is_running(running.fingerprint)
+        assert not upstream.detector.is_busy_for(running.fingerprint)
+
+    run_virtual(main)
+
+
+# Two requests on trial at one upstream would both be blamed for its crash.
+def test_upstream_is_busy_for_all_others_while_one_request_is_on_trial() -> None:
+    async def main() -> None:
+        upstream = Upstream()
+        running = upstream.detector.start(make_call(b"r1"), b"", repeated=True, on_trial=True)
+        assert upstream.detector.is_busy_for(b"o" * 16)
+        upstream.detector.finish(running, RESPONSE)
+        assert not upstream.detector.is_busy_for(b"o" * 16)
 
     run_virtual(main)
 
--- a/tests/test_mesh/test_crash_registry.py
+++ b/tests/test_mesh/test_crash_registry.py
@@ -21,8 +21,11 @@
     repeated: bool = True,
     alone: bool = False,
     caller: str = "desk",
+    on_trial: bool | None = None,
 ) -> SuspectRow:
-    return SuspectRow(KEY, Crash(node, started_at_ms, repeated, alone, caller))
+    """Return a report of a crash; a request that was sent again was on trial, if not told else."""
+    on_trial = repeated if on_trial is None else on_trial
+    return SuspectRow(KEY, Crash(node, started_at_ms, repeated, alone, caller, on_trial))
 
 
 def is_refused(registry: CrashRegistry, caller: str = "desk") -> bool:
@@ -147,13 +150,25 @@
     assert (len(reports), len(registry)) == (2, 0)
 
 
+# Credit lost: a popular request that was sent again, and was running in crashes under another one.
+def test_crashes_under_a_request_that_was_neither_alone_nor_on_trial_refuse_nothing() -> None:
+    registry = CrashRegistry("n1")
+    registry.add([make_row(f"n{n}", on_trial=False) for n in range(2, 30)], 0.0)
+    assert not is_refused(registry)
+    registry.add([make_row("n30", on_trial=True)], 0.0)
+    assert is_refused(registry)
+
+
 # Equal requests that were running in one crash hid that one of them had been sent again.
 def test_equal_requests_in_one_crash_are_one_suspect() -> None:
     registry = CrashRegistry("n1")
     reported: list[SuspectRow] = []
     registry.on_crash = reported.extend
     call = make_call(b"r1")
-    requests = [RunningRequest(call, b"x", repeated=repeated) for repeated in (False, True, False)]
+    requests = [
+        RunningRequest(call, b"x", repeated=repeated, on_trial=False)
+        for repeated in (False, True, False)
+    ]
     registry.record_crash(requests, 5, 0.0)
     assert [row.crash for row in reported] == [Crash("n1", 5, True, True, "desk")]
 
--- a/tests/test_mesh/test_crash_soak.py
+++ b/tests/test_mesh/test_crash_soak.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections import Counter, defaultdict
+from collections.abc import Sequence
 
 import pytest
 
@@ -13,19 +15,25 @@
     NODES,
     PLACES,
     count_late_arrivals,
+    get_registries,
 )
 
 DURATION_S = 40.0
 FATAL_BODIES = (b"fatal-a", b"fatal-b", b"fatal-c")
 #: number of different paths of requests that crash nothing
 POPULAR_PATHS = 5
+#: how many copies of a request that crashes upstreams are sent at the same moment
+COPIES = (1, 1, 2, 4, 8)
+#: nodes that requests which crash upstreams come to
+SENDERS = [*NODES, make_settings(9, service="registry", place=PLACES[1])]
 
 
 class Soak:
     """Nodes that restart while some requests crash upstreams and others crash by themselves."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, copies: Sequence[int] = COPIES) -> None:
         self.rng = random.Random(seed)
+        self.copies = copies
         self.send_request = RequestSender()
         self.fatal_arrivals: defaultdict[bytes, list[float]] = defaultdict(list)
         self.innocent_statuses: Counter[int] = Counter()
@@ -39,7 +47,7 @@
 
     async def start(self) -> None:
         self.cluster = InMemoryCluster()
-        await self.cluster.start(*NODES, make_settings(9, service="registry", place=PLACES[1]))
+        await self.cluster.start(*SENDERS)
         for member in self.cluster.members.values():
             member.upstream.is_fatal = self.is_fatal
 
@@ -47,10 +55,13 @@
         while True:
             await asyncio.sleep(interval_s * self.rng.uniform(0.5, 1.5))
             path = "/check/0" if body == FATAL_BODIES[0] else "/accept/0"
-            try:
-                await self.send_request(self.rng.choice(NODES), path, method="POST", body=body)
-            except (OSError, EOFError):
-                continue
+            copies = self.rng.choice(self.copies)
+            await asyncio.gather(*(self.send_fatal_copy(path, body) for _ in range(copies)))
+
+    async def send_fatal_copy(self, path: str, body: bytes) -> None:
+        cfg = self.rng.choice(SENDERS)
+        with contextlib.suppress(OSError, EOFError):
+            await self.send_request(cfg, path, method="POST", body=body)
 
     async def send_innocent(self) -> None:
         path = f"/check/{self.rng.randrange(POPULAR_PATHS)}"
@@ -89,13 +100,19 @@
 
 
 # BUDGET: requests that crash upstreams, sent again through nodes that restart and forget.
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("copies", [(1,), COPIES])
+@pytest.mark.parametrize("seed", [1, 2, 3])
 def test_crashing_requests_end_while_nodes_restart_and_upstreams_crash_by_themselves(
-    seed: int,
+    seed: int, copies: Sequence[int]
 ) -> None:
-    soak = Soak(seed)
+    soak = Soak(seed, copies=copies)
     run_virtual(soak.play)
     for body in FATAL_BODIES:
         assert count_late_arrivals(sorted(soak.fatal_arrivals[body])) <= ALLOWED_ARRIVALS
-    refused = soak.innocent_statuses[503] / soak.innocent_statuses.total()
-    assert refused < 0.02, soak.innocent_statuses
+    # a refusal lasts longer than the soak, so that of a popular request would still be seen
+    for registry in get_registries(soak.cluster):
+        assert registry.count_refused() <= len(FATAL_BODIES)
+    if copies == (1,):
+        # with more copies, most upstreams are down at the same moment
+        refused = soak.innocent_statuses[503] / soak.innocent_statuses.total()
+        assert refused < 0.02, soak.innocent_statuses
