--- /dev/null
+++ b/balsamhead/mesh/_internal_endpoints.py
@@ -0,0 +1,103 @@
+"""Serve what a node's VM asks of it: readiness, announcements of the upstream, and metrics."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+from balsamhead.errors import MalformedMessageError
+from balsamhead.mesh._server import HttpServer, Reply, Request
+from balsamhead.mesh.model import Limits, UpstreamRecord, UpstreamState
+from balsamhead.platform.messages import (
+    decode_heartbeat,
+    encode_heartbeat_response,
+    parse_announcement_path,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamhead.mesh._metrics import MeshMetrics
+    from balsamhead.mesh._settings import MeshSettings
+    from balsamhead.mesh._upstream import LocalUpstream
+
+__all__ = ("DEFAULT_LIMITS", "InternalEndpoints")
+
+logger = logging.getLogger(__name__)
+
+#: limits of requests before a configuration names any
+DEFAULT_LIMITS: Final = Limits(16_384, 64 << 20, 10.0, 60.0)
+
+
+class InternalEndpoints:
+    """HTTP servers that only the platform and this VM's upstream call."""
+
+    def __init__(
+        self,
+        cfg: MeshSettings,
+        *,
+        upstream: LocalUpstream,
+        metrics: MeshMetrics,
+        is_ready: Callable[[], bool],
+        has_joined: Callable[[], bool],
+    ) -> None:
+        """Create the servers; they listen from :meth:`start` on.
+
+        :param has_joined: returns whether peers would remember a departure that is acknowledged.
+        """
+        self._cfg = cfg
+        self._upstream = upstream
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._has_joined = has_joined
+        self._ready, self._announcements, self._metrics_server = (
+            HttpServer(handle, get_limits=lambda: DEFAULT_LIMITS)
+            for handle in (self._handle_ready, self._handle_announcement, self._handle_metrics)
+        )
+
+    async def start(self) -> None:
+        """Listen on all addresses.
+
+        :raises OSError: an address can't be bound.
+        """
+        await self._ready.start(self._cfg.ready_address)
+        await self._announcements.start(self._cfg.announce_address)
+        if self._cfg.metrics_port:
+            host = self._cfg.peer_address.rpartition(":")[0]
+            await self._metrics_server.start(f"{host}:{self._cfg.metrics_port}")
+
+    def stop_listening(self) -> None:
+        """Close all listening sockets."""
+        for server in (self._ready, self._announcements, self._metrics_server):
+            server.stop_listening()
+
+    async def _handle_ready(self, request: Request) -> Reply:
+        del request
+        return Reply(200 if self._is_ready() else 503)
+
+    async def _handle_metrics(self, request: Request) -> Reply:
+        del request
+        return Reply(200, self._metrics.render(), b"Content-Type: text/plain; version=0.0.4\r\n")
+
+    async def _handle_announcement(self, request: Request) -> Reply:
+        head = request.head
+        upstream_id = parse_announcement_path(head.path)
+        if upstream_id is None:
+            return Reply(404)
+        record: UpstreamRecord | None = None
+        if head.method != "DELETE":
+            try:
+                record = decode_heartbeat(upstream_id, request.body)
+            except MalformedMessageError as exc:
+                logger.warning("announcement-malformed", extra={"error": str(exc)})
+                return Reply(400)
+        leaving = record is None or record.state is UpstreamState.DRAINING
+        if leaving and not self._has_joined():
+            # no peer would remember the departure if this node restarted
+            logger.info("departure-not-acknowledged", extra={"upstream": upstream_id})
+            return Reply(503)
+        if record is None:
+            self._upstream.deregister(upstream_id)
+        else:
+            self._upstream.apply_announcement(record)
+        return Reply(200, encode_heartbeat_response(), b"Content-Type: application/json\r\n")
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -13,13 +13,14 @@
 from balsamhead.mesh._crash_exchange import CrashExchange
 from balsamhead.mesh._crash_registry import CrashRegistry
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header
+from balsamhead.mesh._internal_endpoints import DEFAULT_LIMITS, InternalEndpoints
 from balsamhead.mesh._link_manager import LinkManager, PeerEventHandler
 from balsamhead.mesh._metrics import MeshMetrics
 from balsamhead.mesh._peers import Heartbeat, Hello, Peer, UpstreamView
 from balsamhead.mesh._refusal_archive import RefusalArchive
 from balsamhead.mesh._request_router import RequestRouter
 from balsamhead.mesh._rollout_exchange import RolloutExchange
-from balsamhead.mesh._server import HttpServer, Reply, Request
+from balsamhead.mesh._server import HttpServer
 from balsamhead.mesh._settings import MeshSettings
 from balsamhead.mesh._sync import STORE_RETRY_DELAY_S, OperatorSync
 from balsamhead.mesh._traffic_split import TrafficSplit
@@ -30,15 +31,8 @@
     NodeRecord,
     OperatorState,
     UpstreamNotice,
-    UpstreamRecord,
-    UpstreamState,
 )
 from balsamhead.platform.headers import DROPPED_REQUEST_HEADERS
-from balsamhead.platform.messages import (
-    decode_heartbeat,
-    encode_heartbeat_response,
-    parse_announcement_path,
-)
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
 from balsamhead.util.positions import get_era, get_offset
@@ -83,7 +77,6 @@
     "stop_deadline",
     "log_level",
 )
-_DEFAULT_LIMITS: Final = Limits(16_384, 64 << 20, 10.0, 60.0)
 
 
 class MeshNode(PeerEventHandler):
@@ -170,11 +163,13 @@
             get_limits=self._get_limits,
             dropped_headers=DROPPED_REQUEST_HEADERS,
         )
-        self._internal_servers = [
-            HttpServer(self._handle_ready, get_limits=lambda: _DEFAULT_LIMITS),
-            HttpServer(self._handle_announcement, get_limits=lambda: _DEFAULT_LIMITS),
-            HttpServer(self._handle_metrics, get_limits=lambda: _DEFAULT_LIMITS),
-        ]
+        self._internal_endpoints = InternalEndpoints(
+            cfg,
+            upstream=self._local_upstream,
+            metrics=self._metrics,
+            is_ready=self._is_ready,
+            has_joined=self._has_joined,
+        )
         self._stopped = asyncio.Event()
         self._stopping = False
         self._links_deadline = 0.0
@@ -192,14 +187,8 @@
 
     async def run(self) -> None:
         """Serve until :meth:`stop` is called, then drain and return."""
-        cfg = self._cfg
-        await self._caller_server.start(cfg.caller_address)
-        ready, announce, metrics = self._internal_servers
-        await ready.start(cfg.ready_address)
-        await announce.start(cfg.announce_address)
-        if cfg.metrics_port:
-            host = cfg.peer_address.rpartition(":")[0]
-            await metrics.start(f"{host}:{cfg.metrics_port}")
+        await self._caller_server.start(self._cfg.caller_address)
+        await self._internal_endpoints.start()
         await self._link_manager.start()
         self._register_gauges()
         logger.info("node-started", extra={"incarnation": self._own_record.incarnation})
@@ -229,8 +218,8 @@
         for task in self._tasks:
             task.cancel()
         self._refusal_archive.stop()
-        for server in (self._caller_server, *self._internal_servers):
-            server.stop_listening()
+        self._caller_server.stop_listening()
+        self._internal_endpoints.stop_listening()
         self._link_manager.stop()
 
     def reload(self, cfg: MeshSettings) -> None:
@@ -415,7 +404,7 @@
 
     def _get_limits(self) -> Limits:
         config = self._sync.state.config
-        return _DEFAULT_LIMITS if config is None else config.limits
+        return DEFAULT_LIMITS if config is None else config.limits
 
     def _is_ready(self) -> bool:
         if self._stopping or self._sync.state.config is None:
@@ -433,37 +422,6 @@
             self._joined = linked or waited or bool(self._link_manager.list_live())
         return self._joined
 
-    async def _handle_ready(self, request: Request) -> Reply:
-        del request
-        return Reply(200 if self._is_ready() else 503)
-
-    async def _handle_metrics(self, request: Request) -> Reply:
-        del request
-        return Reply(200, self._metrics.render(), b"Content-Type: text/plain; version=0.0.4\r\n")
-
-    async def _handle_announcement(self, request: Request) -> Reply:
-        head = request.head
-        upstream_id = parse_announcement_path(head.path)
-        if upstream_id is None:
-            return Reply(404)
-        record: UpstreamRecord | None = None
-        if head.method != "DELETE":
-            try:
-                record = decode_heartbeat(upstream_id, request.body)
-            except MalformedMessageError as exc:
-                logger.warning("announcement-malformed", extra={"error": str(exc)})
-                return Reply(400)
-        leaving = record is None or record.state is UpstreamState.DRAINING
-        if leaving and not self._has_joined():
-            # no peer would remember the departure if this node restarted
-            logger.info("departure-not-acknowledged", extra={"upstream": upstream_id})
-            return Reply(503)
-        if record is None:
-            self._local_upstream.deregister(upstream_id)
-        else:
-            self._local_upstream.apply_announcement(record)
-        return Reply(200, encode_heartbeat_response(), b"Content-Type: application/json\r\n")
-
     def _register_gauges(self) -> None:
         register_gauge = self._metrics.register_gauge
         register_gauge("config_offset", lambda: {"": get_offset(self._sync.offset)})
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -46,7 +46,7 @@
     ("_peers", "_connection_pool"),
     ("_crash_guard",),
     ("_upstream",),
-    ("_link_manager", "_evidence", "_state_pull"),
+    ("_link_manager", "_evidence", "_state_pull", "_internal_endpoints"),
     ("_upstream_index", "_rollouts", "_sync"),
     ("_request_router", "_rollout_exchange", "_crash_exchange"),
     ("_node",),
@@ -54,7 +54,13 @@
     ("node",),
 )
 #: mesh modules that may import the platform adapter
-ADAPTER_USERS = {"_request_router", "_daemon", "_upstream_connection", "_node"}
+ADAPTER_USERS = {
+    "_request_router",
+    "_daemon",
+    "_upstream_connection",
+    "_node",
+    "_internal_endpoints",
+}
 #: wire names of the platform, which only the adapter may contain
 WIRE_WORDS = re.compile(
     r"beat_addr|target_latency|Target-Instance|Not-Executed|Server-Stamp|(?<!X-)Deadline-Ms"
