Bound how often a store that is away is asked

Cause: each node that the store fails tries again twice a second, and passing over a silent reader at once makes more nodes find out for themselves; each call has its price, also a refused one, and a store that comes back meets them all.

Change: the first six nodes that lose the store tell at once, others with the next heartbeat; at most two additional readers; all nodes without contact together try again 8 times a second.

--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -32,10 +32,16 @@
 
 #: delay after a failed call to the store, in s
 STORE_RETRY_DELAY_S: Final = 0.5
+#: rate at which all nodes without contact to the store together try to read again, in reads per s
+_MAX_RETRIES_PER_S: Final = 8.0
 #: number of nodes that read the operator's records from the store
 _READER_COUNT: Final = 2
 #: number of nodes without contact to the store for each of which another node reads more
 _FAILED_NODES_PER_READER: Final = 2
+_MAX_ADDITIONAL_READERS: Final = 2
+#: number of nodes without contact from which on others hear of one more with the next heartbeat
+#: only; the store itself is away then, and many readers would not help
+_MAX_ANNOUNCED_FAILURES: Final = 6
 #: long-poll time: how long the store waits for new records before it responds, in s
 _LONG_POLL_S: Final = 0.8
 #: time after the end of a long poll at which its response is overdue, so that the store is asked
@@ -75,6 +81,7 @@
         self._loop = asyncio.get_running_loop()
         self._history = StateHistory()
         self._order_history = OrderHistory()
+        self._rng = rng
         self._pull = StatePull(own_record, rng=rng)
         self._hedge_allowed_at = 0.0
         #: the last call to the store failed
@@ -93,8 +100,8 @@
     def is_reader(self) -> bool:
         """Return whether this node reads from the store."""
         peers = self._list_peers()
-        failed_nodes = sum(peer.store_failed for peer in peers)
-        count = _READER_COUNT + failed_nodes // _FAILED_NODES_PER_READER
+        additional = _count_failed(peers) // _FAILED_NODES_PER_READER
+        count = _READER_COUNT + min(_MAX_ADDITIONAL_READERS, additional)
         return self._rank_as_reader(peers) < count
 
     def _list_peers(self) -> list[Peer]:
@@ -115,8 +122,9 @@
             self.store_failed = failed
             if failed:
                 logger.warning("store-lost", extra={"error": str(exc)})
-                # the next reader takes over at once
-                self._link_manager.announce_state()
+                if _count_failed(self._list_peers()) < _MAX_ANNOUNCED_FAILURES:
+                    # the next reader takes over at once
+                    self._link_manager.announce_state()
             else:
                 logger.info("store-regained")
 
@@ -136,7 +144,7 @@
             except BalsamheadError as exc:
                 in_contact = False
                 self.record_store_result(exc)
-                await asyncio.sleep(STORE_RETRY_DELAY_S)
+                await asyncio.sleep(self._get_retry_delay())
                 continue
             self.record_store_result(None)
             first_read, in_contact = not in_contact, True
@@ -150,6 +158,12 @@
             elif state.offset > offset and self._rank_as_reader(self._list_peers()) > 0:
                 await asyncio.sleep(_READER_OFFSET_S)
 
+    def _get_retry_delay(self) -> float:
+        """Return the delay after a failed read, in s; it grows with the nodes that fail as well."""
+        failed_nodes = _count_failed(self._list_peers()) + 1
+        mean_s = max(STORE_RETRY_DELAY_S, failed_nodes / _MAX_RETRIES_PER_S)
+        return mean_s * self._rng.uniform(0.8, 1.2)
+
     async def _read_watched(self, wait_s: float) -> OperatorState:
         """Read the state; meanwhile, let other nodes read if the store is silent to this one."""
         if self.offset < 0:
@@ -248,3 +262,8 @@
             extra={"peer": link.peer, "whole": delta.base < 0, "bytes": len(body)},
         )
         link.send(FrameKind.CONFIG, 0, None, body)
+
+
+def _count_failed(peers: Iterable[Peer]) -> int:
+    """Count the peers without contact to the store."""
+    return sum(peer.store_failed for peer in peers)
--- a/tests/test_mesh/test_configuration.py
+++ b/tests/test_mesh/test_configuration.py
@@ -113,6 +113,22 @@
     run_virtual(main)
 
 
+# A store that is away must not be asked by all nodes, nor all the more often as it comes back.
+@pytest.mark.parametrize("silent", [False, True])
+def test_store_that_is_away_is_asked_by_few_nodes(silent: bool) -> None:
+    async def main() -> None:
+        settings = [make_settings(number) for number in range(1, 25)]
+        cluster, _ = await start_cluster(*settings)
+        cluster.store.faults.silent = silent
+        cluster.store.faults.status = 503
+        before = len(cluster.store.calls)
+        await asyncio.sleep(8.0)
+        # each node may find out for itself; after that, all together try 8 times a second
+        assert len(cluster.store.calls) - before <= len(settings) + 8.0 * 8.0 + 12
+
+    run_virtual(main)
+
+
 # Reads that repeat overdue ones must not feed the shortage that makes responses late.
 def test_slow_store_gets_few_more_reads() -> None:
     async def main() -> None:
