--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -328,6 +328,13 @@
         return await send(cfg.caller_address, method, path, body, headers=extra)
 
 
+async def get_statuses(
+    cluster: InMemoryCluster, send_request: RequestSender, path: str
+) -> list[int]:
+    """Send a request to each node, and return the statuses of their responses."""
+    return [(await send_request(row.cfg, path)).status for row in cluster.members.values()]
+
+
 async def send(
     address: str,
     method: str,
--- a/tests/test_mesh/test_endless_responses.py
+++ b/tests/test_mesh/test_endless_responses.py
@@ -15,7 +15,7 @@
     make_settings,
     run_virtual,
 )
-from tests.test_mesh.test_upstream_connection import HEAD, connect, send
+from tests.test_mesh.connection_builders import HEAD, connect, send
 
 PIECE = b"x" * (64 << 10)
 #: bytes that are sent before the test gives up, and the most that a connection may hold
--- a/tests/test_mesh/test_repeated_refusals.py
+++ b/tests/test_mesh/test_repeated_refusals.py
@@ -6,7 +6,7 @@
 
 from balsamhead.mesh._calls import NotExecuted, OutcomeUnknown, UpstreamResponse
 from tests.test_mesh.builders import run_virtual
-from tests.test_mesh.test_upstream_connection import RESPONSE, connect, run_exchange, send
+from tests.test_mesh.connection_builders import RESPONSE, connect, run_exchange, send
 
 REFUSAL = b"HTTP/1.1 503 No\r\n%bNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
--- a/tests/test_mesh/test_restored_store.py
+++ b/tests/test_mesh/test_restored_store.py
@@ -12,13 +12,14 @@
     NODE_3,
     InMemoryCluster,
     RequestSender,
+    get_statuses,
     make_config,
     make_route,
     make_settings,
     run_virtual,
     start_cluster,
 )
-from tests.test_mesh.test_rollouts import NEW, OLD, get_status, send_load, start_rollout
+from tests.test_mesh.rollout_builders import NEW, OLD, get_status, send_load, start_rollout
 
 
 def put_config(store: PlatformStore, version: int, *names: str) -> None:
@@ -47,12 +48,6 @@
     await restore(cluster.store, topics)
 
 
-async def get_statuses(
-    cluster: InMemoryCluster, send_request: RequestSender, path: str
-) -> list[int]:
-    return [(await send_request(row.cfg, path)).status for row in cluster.members.values()]
-
-
 # CONFIG: after the store was restored from a copy, no node took up a change any more.
 def test_change_after_a_restoration_of_the_store_comes_into_force() -> None:
     async def main() -> None:
--- a/tests/test_mesh/test_silent_store.py
+++ b/tests/test_mesh/test_silent_store.py
@@ -15,6 +15,7 @@
     NODE_3,
     InMemoryCluster,
     RequestSender,
+    get_statuses,
     make_config,
     make_route,
     make_settings,
@@ -22,7 +23,7 @@
     start_cluster,
 )
 from tests.test_mesh.crash_builders import FATAL_BODY, NODES, start_fatal_cluster
-from tests.test_mesh.test_rollouts import get_status, send_load, start_rollout
+from tests.test_mesh.rollout_builders import get_status, send_load, start_rollout
 
 #: time after a disruption of the store from which the mesh is held to its bounds, in s
 CONTACT_S = 3.0
@@ -37,12 +38,6 @@
     cluster.store.faults.silent = False
 
 
-async def get_statuses(
-    cluster: InMemoryCluster, send_request: RequestSender, path: str
-) -> list[int]:
-    return [(await send_request(row.cfg, path)).status for row in cluster.members.values()]
-
-
 # CONFIG: reads that began in the last moments of a silent outage held up the change after it.
 @pytest.mark.parametrize("outage_s", [0.1, 1.0, 3.3, 6.0])
 def test_change_after_a_silent_outage_is_in_force_in_time(outage_s: float) -> None:
--- a/tests/test_mesh/test_truncated_heads.py
+++ b/tests/test_mesh/test_truncated_heads.py
@@ -7,7 +7,7 @@
 
 from balsamhead.mesh._calls import OutcomeUnknown
 from balsamhead.proxy._http import read_response_head
-from tests.test_mesh.test_upstream_connection import run_exchange
+from tests.test_mesh.connection_builders import run_exchange
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\nContent-Type: text/plain\r\n"
--- a/tests/test_mesh/test_upstream_limits.py
+++ b/tests/test_mesh/test_upstream_limits.py
@@ -20,7 +20,7 @@
     run_virtual,
     start_cluster,
 )
-from tests.test_mesh.test_upstream_connection import CALL, connect
+from tests.test_mesh.connection_builders import CALL, connect
 
 #: length of the window in which the requests of an upstream are counted, in s
 WINDOW_S = 4.0
