Forget that the store failed a node that is no longer asked to read

Callers saw: nothing; found on reading once more.

Cause: a node that had read during an outage, and was no reader after it, never read again and went on telling its peers that the store fails it. With one more reader for every two such nodes, and no word at once from the sixth on, an outage would have cost additional calls for good, and the takeover its speed.

Change: a node that is not a reader takes the store for reachable; it is asked again, and finds out, when the readers fail.

Evidence: test_outage_of_the_store_leaves_no_trace_after_it; it failed before.

--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -134,6 +134,8 @@
         while True:
             if self.offset >= 0 and not self.is_reader():
                 in_contact = False
+                # it may reach the store by now, and is asked again if the readers fail
+                self.store_failed = False
                 await asyncio.sleep(_READER_CHECK_INTERVAL_S)
                 continue
             started_at, offset = self._loop.time(), self.offset
--- a/tests/test_mesh/test_configuration.py
+++ b/tests/test_mesh/test_configuration.py
@@ -129,6 +129,25 @@
     run_virtual(main)
 
 
+# Nodes that had read during an outage, and were not needed afterwards, were taken for failed.
+def test_outage_of_the_store_leaves_no_trace_after_it() -> None:
+    async def main() -> None:
+        settings = [make_settings(number) for number in range(1, 13)]
+        cluster, _ = await start_cluster(*settings)
+        cluster.store.faults.status = 503
+        await asyncio.sleep(4.0)
+        cluster.store.faults.status = 0
+        await asyncio.sleep(5.0)
+        assert not any(member.node._sync.store_failed for member in cluster.members.values())
+        readers = [row for row in cluster.members.values() if row.node._sync.is_reader()]
+        assert len(readers) == 2
+        cluster.store.read_times.clear()
+        await asyncio.sleep(8.0)
+        assert len(cluster.store.read_times) <= 2 * (8.0 / 0.8 + 1)
+
+    run_virtual(main)
+
+
 # Reads that repeat overdue ones must not feed the shortage that makes responses late.
 def test_slow_store_gets_few_more_reads() -> None:
     async def main() -> None:
