--- a/standin/virtual_network.py
+++ b/standin/virtual_network.py
@@ -148,6 +148,9 @@
             return
         self._is_closing = True
         self.held_data.clear()
+        if self._loop.is_closed():
+            # a stream that is collected after its loop has nobody to notify
+            return
         self._loop.call_soon(self._notify_connection_lost, None, context=self.context)
         other = self.other
         if other is not None and not self.is_blackholed:
