--- a/tests/test_mesh/test_crashing_copies.py
+++ b/tests/test_mesh/test_crashing_copies.py
@@ -8,9 +8,11 @@
 
 from balsamhead.mesh._crash_guard import TRIAL_CODES
 from balsamhead.mesh._crash_registry import CRASHING_REQUEST
+from balsamhead.mesh._server import Request
 from balsamhead.mesh._settings import MeshSettings
 from standin.virtual_network import CURRENT_HOST
 from tests.test_mesh.builders import (
+    FakeUpstream,
     InMemoryCluster,
     RequestSender,
     make_settings,
@@ -77,6 +79,20 @@
     )
 
 
+def let_crash_after_deadline(upstream: FakeUpstream) -> None:
+    """Let an upstream work on a request with ``FATAL_BODY`` for 0.3 s, and crash then."""
+    times = [upstream.service_time_s]
+
+    def begin(request: Request) -> bool:
+        times[0] = 2.0 if has_fatal_body(request) else upstream.service_time_s
+        if has_fatal_body(request):
+            asyncio.get_running_loop().call_later(0.3, upstream.crash_and_restart)
+        return False
+
+    upstream.is_fatal = begin
+    upstream.draw_service_time = lambda: times[0]
+
+
 async def send_popular_requests(send_request: RequestSender, statuses: list[int]) -> None:
     """Send 300 requests per s that crash nothing, a hundred different ones, until cancelled."""
 
@@ -268,3 +284,24 @@
         assert count_late_arrivals(list_fatal_arrivals(cluster)) <= ALLOWED_ARRIVALS
 
     run_virtual(main)
+
+
+# BUDGET: a response in between hid a request that crashed its upstream after its own deadline.
+def test_request_that_crashes_upstreams_after_its_deadline_runs_on_few_of_them() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_fatal_cluster()
+        for member in cluster.members.values():
+            let_crash_after_deadline(member.upstream)
+        load = asyncio.ensure_future(send_popular_requests(send_request, []))
+        for _ in range(4):
+            await asyncio.gather(
+                *(
+                    send_request(cfg, "/check/1", method="POST", body=FATAL_BODY, deadline_ms=200)
+                    for cfg in NODES
+                )
+            )
+            await asyncio.sleep(5.0)
+        load.cancel()
+        assert count_late_arrivals(list_fatal_arrivals(cluster)) <= ALLOWED_ARRIVALS
+
+    run_virtual(main)
