Store departures before they are acknowledged, so that the end of all nodes forgets none

All nodes had been killed 0.3 s after the acknowledgement, and a heartbeat that was under way arrived after their restart.

Cause: a departure was kept in the memory of the upstream's node and of its peers alone. Ruled out: the order by start time and sequence (none arrives without the kill), and a departure that comes back late (no node knew it any more).

Change: a node writes the departures that it remembers to the topic of the nodes, one record a node, and acknowledges once the store has them; it reads them with the directory when it starts. If the store doesn't answer within 0.5 s, the departure is acknowledged on the memory of the peers as before, and written later. A departure takes effect at once, also if it isn't acknowledged. The same for one that was acknowledged before any heartbeat, which no peer knew: the kill of one node was enough there.

The state machine of departures has a new operation, the end of all nodes.

--- a/balsamhead/mesh/_departures.py
+++ b/balsamhead/mesh/_departures.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
+
+from balsamhead.mesh.model import Departure
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from balsamhead.mesh.model import UpstreamRecord
 
 __all__ = ("Departures",)
 
+#: number of departures that are kept in the store
+_MAX_STORED: Final = 16
+
 
 class Departures:
     """Incarnations that have left, by id and start time."""
@@ -33,7 +40,22 @@
 
         :param now_ms: the current time, in ms since the epoch.
         """
-        self._unannounced[upstream_id] = now_ms
+        self._unannounced[upstream_id] = max(now_ms, self._unannounced.get(upstream_id, -1))
+
+    def restore(self, departures: Iterable[Departure]) -> None:
+        """Add departures that were listed by an earlier run of this node."""
+        for departure in departures:
+            if departure.announced:
+                self.add_incarnation(departure.upstream_id, departure.time_ms)
+            else:
+                self.add_unannounced(departure.upstream_id, departure.time_ms)
+
+    def list_newest(self) -> tuple[Departure, ...]:
+        """Return the newest departures, as many as the store keeps."""
+        known = [Departure(*key, announced=True) for key in self._sequences]
+        known += [Departure(*item, announced=False) for item in self._unannounced.items()]
+        known.sort(key=lambda departure: (departure.time_ms, departure))
+        return tuple(known[-_MAX_STORED:])
 
     def has_left(self, record: UpstreamRecord) -> bool:
         """Return whether the incarnation of a record has left."""
--- a/balsamhead/mesh/_internal_endpoints.py
+++ b/balsamhead/mesh/_internal_endpoints.py
@@ -11,12 +11,14 @@
 from balsamhead.platform.messages import (
     decode_heartbeat,
     encode_heartbeat_response,
+    is_upstream_id,
     parse_announcement_path,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamhead.mesh._departure_archive import DepartureArchive
     from balsamhead.mesh._metrics import MeshMetrics
     from balsamhead.mesh._settings import MeshSettings
     from balsamhead.mesh._upstream import LocalUpstream
@@ -27,6 +29,9 @@
 
 #: limits of requests before a configuration names any
 DEFAULT_LIMITS: Final = Limits(16_384, 64 << 20, 10.0, 60.0)
+#: longest time that an acknowledgement of a departure waits for the store, in s; an upstream gives
+#: up after a second
+_STORE_TIMEOUT_S: Final = 0.5
 
 
 class InternalEndpoints:
@@ -40,6 +45,7 @@
         metrics: MeshMetrics,
         is_ready: Callable[[], bool],
         has_joined: Callable[[], bool],
+        departure_archive: DepartureArchive,
     ) -> None:
         """Create the servers; they listen from :meth:`start` on.
 
@@ -50,6 +56,7 @@
         self._metrics = metrics
         self._is_ready = is_ready
         self._has_joined = has_joined
+        self._departure_archive = departure_archive
         self._ready, self._announcements, self._metrics_server = (
             HttpServer(handle, get_limits=lambda: DEFAULT_LIMITS)
             for handle in (self._handle_ready, self._handle_announcement, self._handle_metrics)
@@ -91,13 +98,25 @@
             except MalformedMessageError as exc:
                 logger.warning("announcement-malformed", extra={"error": str(exc)})
                 return Reply(400)
-        leaving = record is None or record.state is UpstreamState.DRAINING
-        if leaving and not self._has_joined():
-            # no peer would remember the departure if this node restarted
-            logger.info("departure-not-acknowledged", extra={"upstream": upstream_id})
-            return Reply(503)
+        elif not is_upstream_id(upstream_id):
+            return Reply(400)
         if record is None:
             self._upstream.deregister(upstream_id)
         else:
             self._upstream.apply_announcement(record)
+        leaving = record is None or record.state is UpstreamState.DRAINING
+        if leaving and not await self._will_be_remembered(upstream_id):
+            return Reply(503)
         return Reply(200, encode_heartbeat_response(), b"Content-Type: application/json\r\n")
+
+    async def _will_be_remembered(self, upstream_id: str) -> bool:
+        """Wait until a departure would be known after a restart of this node.
+
+        :returns: False if neither the store nor a peer would remember it.
+        """
+        if await self._departure_archive.wait_until_stored(timeout_s=_STORE_TIMEOUT_S):
+            return True
+        joined = self._has_joined()
+        event = "departure-not-stored" if joined else "departure-not-acknowledged"
+        logger.warning(event, extra={"upstream": upstream_id})
+        return joined
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -11,6 +11,7 @@
     "MAX_INTEGER",
     "Config",
     "Crash",
+    "Departure",
     "Directory",
     "Limits",
     "Load",
@@ -219,11 +220,24 @@
     expires_at_ms: int
 
 
+class Departure(NamedTuple):
+    """Departure of an upstream, as its node remembers it."""
+
+    upstream_id: str
+    #: when the incarnation started; if it had not been announced, when it left; in ms since the
+    #: epoch
+    time_ms: int
+    #: the incarnation had been announced; otherwise all that started before ``time_ms`` have left
+    announced: bool
+
+
 class Directory(NamedTuple):
     """What nodes keep in the store for each other."""
 
     nodes: list[NodeRecord]
     refusals: list[Refusal]
+    #: departures that nodes have acknowledged to their upstreams, by node name
+    departures: dict[str, tuple[Departure, ...]]
 
 
 class Phase(StrEnum):
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -12,6 +12,7 @@
 from balsamhead.mesh._budget import RetryBudget
 from balsamhead.mesh._crash_exchange import CrashExchange
 from balsamhead.mesh._crash_registry import CrashRegistry
+from balsamhead.mesh._departure_archive import DepartureArchive
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header
 from balsamhead.mesh._internal_endpoints import DEFAULT_LIMITS, InternalEndpoints
 from balsamhead.mesh._link_manager import LinkManager, PeerEventHandler
@@ -119,6 +120,9 @@
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
         self._crash_exchange = CrashExchange(self._crash_registry, link_manager=self._link_manager)
         self._refusal_archive = RefusalArchive(self._crash_registry, records)
+        self._departure_archive = DepartureArchive(
+            cfg.node, self._local_upstream.departures, records
+        )
         self._budget = RetryBudget(
             ratio=cfg.retry_ratio,
             slack=cfg.retry_slack,
@@ -170,6 +174,7 @@
             metrics=self._metrics,
             is_ready=self._is_ready,
             has_joined=self._has_joined,
+            departure_archive=self._departure_archive,
         )
         self._stopped = asyncio.Event()
         self._stopping = False
@@ -219,6 +224,7 @@
         for task in self._tasks:
             task.cancel()
         self._refusal_archive.stop()
+        self._departure_archive.stop()
         self._caller_server.stop_listening()
         self._internal_endpoints.stop_listening()
         self._link_manager.stop()
@@ -272,6 +278,9 @@
         for record in directory.nodes:
             self._link_manager.add_node(record)
         self._refusal_archive.restore(directory.refusals)
+        own_departures = directory.departures.get(self._cfg.node, ())
+        self._local_upstream.restore_departures(own_departures)
+        self._departure_archive.set_stored(own_departures)
         self._links_deadline = self._loop.time() + _READY_LINK_TIMEOUT_S
         self._registered_era = written_era
         logger.info("nodes-loaded", extra={"nodes": len(directory.nodes), "era": written_era})
@@ -305,6 +314,7 @@
             self._local_upstream.log_slot_usage()
 
     def _upstream_changed(self) -> None:
+        self._departure_archive.update()
         notice = self._local_upstream.get_notice()
         if notice is not None and notice != self._announced_notice:
             self._announced_notice = notice
--- a/balsamhead/mesh/_records.py
+++ b/balsamhead/mesh/_records.py
@@ -5,9 +5,18 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from balsamhead.mesh.model import Directory, NodeRecord, OperatorState, Refusal, Rollout
+    from collections.abc import Sequence
 
-__all__ = ("RecordStore", "RefusalStore", "RolloutStore")
+    from balsamhead.mesh.model import (
+        Departure,
+        Directory,
+        NodeRecord,
+        OperatorState,
+        Refusal,
+        Rollout,
+    )
+
+__all__ = ("DepartureStore", "RecordStore", "RefusalStore", "RolloutStore")
 
 
 class RolloutStore(Protocol):
@@ -43,7 +52,17 @@
         """
 
 
-class RecordStore(RolloutStore, RefusalStore, Protocol):
+class DepartureStore(Protocol):
+    """Persistent departures of upstreams, for when a node and its peers have ended."""
+
+    async def write_departures(self, node: str, departures: Sequence[Departure]) -> None:
+        """Write the departures that a node remembers, in place of those written before.
+
+        :raises LogError: the write failed, or its outcome is unknown.
+        """
+
+
+class RecordStore(RolloutStore, RefusalStore, DepartureStore, Protocol):
     """Persistent state of the operator, and records of the nodes."""
 
     @property
@@ -63,7 +82,7 @@
         """
 
     async def read_directory(self) -> Directory:
-        """Return the records of all nodes, and the refusals.
+        """Return the records of all nodes, the refusals and the departures.
 
         :raises LogError: the store gave no valid response.
         """
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -26,11 +26,12 @@
 from balsamhead.mesh.model import Load, RouteKind, UpstreamNotice, UpstreamRecord, UpstreamState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._metrics import MeshMetrics
     from balsamhead.mesh._upstream_connection import UpstreamConnection
+    from balsamhead.mesh.model import Departure
 
 __all__ = ("CallResult", "LocalUpstream")
 
@@ -88,7 +89,7 @@
         self._announced_at = 0.0
         self._slow_start_ends_at = 0.0
         self._unavailable_until = 0.0
-        self._departures = Departures()
+        self.departures = Departures()
         #: notice of an upstream here that a peer has kept from the previous run of this node
         self._recalled: UpstreamNotice | None = None
         #: this incarnation of the upstream has responded to this run of the node
@@ -111,7 +112,7 @@
         """
         current = self.record
         key = (record.id, record.started_at_ms)
-        if record.service != self._service or self._departures.is_outdated(record):
+        if record.service != self._service or self.departures.is_outdated(record):
             return False
         if self._precedes_recalled(record):
             return False
@@ -120,10 +121,10 @@
             current.sequence,
         ):
             return False
-        if self._departures.has_left(record):
+        if self.departures.has_left(record):
             record = record._replace(state=UpstreamState.DRAINING)
         elif record.state is UpstreamState.DRAINING:
-            self._departures.add(record)
+            self.departures.add(record)
         changed = current is None or (current.id, current.started_at_ms) != key
         if changed:
             if current is None or current.state is UpstreamState.DRAINING:
@@ -162,16 +163,22 @@
         if current is None or current.id != upstream_id:
             # A node that has just started knows no upstream yet. An announcement may still arrive
             # that was sent before this message.
-            self._departures.add_unannounced(upstream_id, time.time_ns() // 1_000_000)
+            self.departures.add_unannounced(upstream_id, time.time_ns() // 1_000_000)
             logger.info("upstream-left", extra={"upstream": upstream_id, "announced": False})
             return False
         self._remove(current, extra={"announced": True})
         return True
 
+    def restore_departures(self, departures: Iterable[Departure]) -> None:
+        """Adopt the departures that an earlier run of this node has kept in the store."""
+        self.departures.restore(departures)
+        if self.record is not None and self.departures.has_left(self.record):
+            self._remove(self.record, extra={"source": "store"})
+
     def recall_notice(self, notice: UpstreamNotice) -> None:
         """Adopt a notice that a peer has kept from this node's previous run."""
         if notice.leaving:
-            self._departures.add_incarnation(notice.upstream_id, notice.started_at_ms)
+            self.departures.add_incarnation(notice.upstream_id, notice.started_at_ms)
         self._recalled = merge_notices(self._recalled, notice)
         current = self.record
         if current is None:
@@ -180,8 +187,8 @@
             return
         self._adopt_recalled_limit(current)
         if self._precedes_recalled(current):
-            self._departures.add(current)
-        if self._departures.has_left(current):
+            self.departures.add(current)
+        if self.departures.has_left(current):
             self._remove(current, extra={"source": "peer"})
 
     def _precedes_recalled(self, record: UpstreamRecord) -> bool:
@@ -200,7 +207,7 @@
 
     def _remove(self, current: UpstreamRecord, *, extra: dict[str, object]) -> None:
         """Send the announced upstream no more requests."""
-        self._departures.add(current)
+        self.departures.add(current)
         if current.state is not UpstreamState.DRAINING:
             self.record = current._replace(state=UpstreamState.DRAINING)
             logger.info("upstream-left", extra={"upstream": current.id, **extra})
@@ -258,7 +265,7 @@
         record = self.record
         if record is None:
             return self._recalled
-        leaving = self._departures.has_left(record)
+        leaving = self.departures.has_left(record)
         return UpstreamNotice(record.id, record.started_at_ms, self._slots.limit_per_s, leaving)
 
     def get_limit(self) -> float | None:
--- a/balsamhead/platform/messages.py
+++ b/balsamhead/platform/messages.py
@@ -33,6 +33,7 @@
     "decode_rollout_status",
     "encode_heartbeat_response",
     "encode_rollout_status",
+    "is_upstream_id",
     "parse_announcement_path",
 )
 
@@ -162,7 +163,7 @@
         parse_address(raw.address)
     except (msgspec.DecodeError, ValueError, RecursionError) as exc:
         raise _make_malformed_error("decode-heartbeat", exc) from exc
-    if not _UPSTREAM_ID.fullmatch(upstream_id):
+    if not is_upstream_id(upstream_id):
         raise _make_malformed_error("decode-heartbeat", "the id can't stand in a header")
     return UpstreamRecord(
         id=upstream_id,
@@ -183,6 +184,11 @@
     return upstream_id if prefix == _ANNOUNCEMENT_PATH and upstream_id else None
 
 
+def is_upstream_id(text: str) -> bool:
+    """Return whether an upstream may have this id, which stands in a header of each request."""
+    return _UPSTREAM_ID.fullmatch(text) is not None
+
+
 def encode_heartbeat_response() -> bytes:
     """Return the body of the response to a heartbeat."""
     return b"{}"
--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -1,6 +1,6 @@
 """Read and write the mesh's records in the platform's store.
 
-They are the operator's state, the nodes and the states of the rollouts.
+They are the operator's state, the nodes with what they remember, and the states of the rollouts.
 """
 
 from __future__ import annotations
@@ -13,6 +13,8 @@
 
 from balsamhead.errors import LogExpiredError, MalformedMessageError
 from balsamhead.mesh.model import (
+    MAX_INTEGER,
+    Departure,
     Directory,
     NodeRecord,
     OperatorState,
@@ -33,7 +35,7 @@
 from balsamhead.util.positions import get_era, get_offset, make_position
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from balsamhead.platform.store import KeyedRecord, StoreClient
 
@@ -48,6 +50,8 @@
 _NODES_TOPIC: Final = "keyed.nodes"
 #: prefix of the keys of refusals in the topic of the nodes, before the fingerprint in hexadecimal
 _REFUSAL_KEY_PREFIX: Final = "refusal/"
+#: prefix of the keys of departures in the topic of the nodes, before the name of their node
+_DEPARTURES_KEY_PREFIX: Final = "departures/"
 #: largest record in the topic of the nodes that is decoded, in bytes; decoding a large one takes
 #: long
 _MAX_NODE_BYTES: Final = 4096
@@ -141,17 +145,31 @@
         """
         await self._store.append_keyed(_NODES_TOPIC, _make_refusal_key(fingerprint), b"")
 
+    async def write_departures(self, node: str, departures: Sequence[Departure]) -> None:
+        """Write the departures that a node remembers, in place of those written before.
+
+        :raises LogError: the record was not written, or it is unknown whether it was.
+        """
+        await self._store.append_keyed(
+            _NODES_TOPIC, _DEPARTURES_KEY_PREFIX + node, codec.encode(departures)
+        )
+
     async def read_directory(self) -> Directory:
-        """Return the records of all nodes and the refusals, without those that can't be decoded.
+        """Return the records of all nodes, the refusals and the departures.
+
+        Records that can't be decoded are left out.
 
         :raises LogError: the store gave no valid response.
         """
         newest = await self._store.read_newest(_NODES_TOPIC)
-        directory = Directory([], [])
+        directory = Directory([], [], {})
         for record in newest.records:
             try:
                 if record.key.startswith(_REFUSAL_KEY_PREFIX):
                     directory.refusals.append(_decode_refusal(record))
+                elif record.key.startswith(_DEPARTURES_KEY_PREFIX):
+                    node = record.key.removeprefix(_DEPARTURES_KEY_PREFIX)
+                    directory.departures[node] = _decode_departures(record)
                 else:
                     directory.nodes.append(_decode_node(record))
             except MalformedMessageError as exc:
@@ -256,6 +274,13 @@
     return refusal
 
 
+def _decode_departures(record: KeyedRecord) -> tuple[Departure, ...]:
+    departures = _decode(record, tuple[Departure, ...], step="decode-departures")
+    if not all(0 <= row.time_ms <= MAX_INTEGER for row in departures):
+        raise MalformedMessageError("time is out of range", step="decode-departures")
+    return departures
+
+
 def _decode(record: KeyedRecord, kind: type[T], *, step: str) -> T:
     if len(record.value) > _MAX_NODE_BYTES:
         raise MalformedMessageError("record is too large", step=step)
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -51,7 +51,7 @@
     ),
     ("_server",),
     ("_crash_registry",),
-    ("_refusal_archive",),
+    ("_refusal_archive", "_departure_archive"),
     ("_peers", "_connection_pool"),
     ("_crash_guard", "_reader_selection", "_caller_crash_view"),
     ("_upstream",),
--- a/tests/test_mesh/test_departure_machine.py
+++ b/tests/test_mesh/test_departure_machine.py
@@ -12,7 +12,7 @@
 from balsamhead.mesh._metrics import MeshMetrics
 from balsamhead.mesh._peers import Peer, UpstreamView
 from balsamhead.mesh._upstream import LocalUpstream
-from balsamhead.mesh.model import NodeRecord, UpstreamRecord, UpstreamState
+from balsamhead.mesh.model import Departure, NodeRecord, UpstreamRecord, UpstreamState
 from standin.virtual_network import VirtualLoop
 
 OWN_RECORD = NodeRecord("own", 1, "10.0.0.1:8004", "east-a", "east", "desk")
@@ -22,8 +22,8 @@
 class DeparturesAcrossRestarts(RuleBasedStateMachine):
     """Restart the node beside an upstream and the nodes of its peers, amid late announcements.
 
-    A node that has restarted is linked to its peers some time later, a peer at once. Until then
-    it acknowledges no departure (``test_departures``).
+    A node that has restarted reads the store and is linked to its peers some time later, a peer at
+    once. Until then it acknowledges no departure (``test_departures``).
     """
 
     def __init__(self) -> None:
@@ -34,6 +34,8 @@
         self.acknowledged: set[tuple[str, int]] = set()
         self.born, self.sequence = 1000, 0
         self.linked = True
+        #: what the store holds of the departures that the node remembers
+        self.stored: tuple[Departure, ...] = ()
         self.sent: list[UpstreamRecord] = []
         self.upstream: LocalUpstream = self.run(self.make())
 
@@ -60,6 +62,7 @@
     def tell_peers(self) -> None:
         if not self.linked:
             return
+        self.stored = self.upstream.departures.list_newest()
         notice, record = self.upstream.get_notice(), self.upstream.record
         for peer in self.peers:
             if notice is not None:
@@ -114,11 +117,21 @@
         for peer in self.peers:
             peer.upstream = None
 
+    @rule()
+    def restart_all_nodes(self) -> None:
+        """Kill all nodes at once, and start them again."""
+        self.restart_node()
+        self.peers = [Peer(OWN_RECORD) for _ in range(PEER_COUNT)]
+
     @precondition(lambda self: not self.linked)
     @rule()
     def link(self) -> None:
-        """Link the restarted node to its peers; each end tells the other what it knows."""
+        """Let the restarted node read the store, and link it to its peers.
+
+        Each end of a link tells the other what it knows.
+        """
         self.linked = True
+        self.upstream.restore_departures(self.stored)
         self.tell_peers()
         for peer in self.peers:
             if peer.notice is not None:
@@ -171,3 +184,15 @@
     machine.link()
     machine.upstream_that_has_left_gets_no_requests()
     machine.teardown()
+
+
+# DRAIN: a departure that was acknowledged was forgotten when all nodes were killed at once.
+def test_departure_outlives_the_end_of_all_nodes() -> None:
+    machine = DeparturesAcrossRestarts()
+    machine.announce(UpstreamState.READY)
+    machine.leave()
+    machine.restart_all_nodes()
+    machine.link()
+    machine.announce(UpstreamState.READY)
+    machine.upstream_that_has_left_gets_no_requests()
+    machine.teardown()
--- a/tests/test_mesh/test_departures.py
+++ b/tests/test_mesh/test_departures.py
@@ -3,10 +3,13 @@
 import asyncio
 import time
 
+import pytest
+
 from tests.test_mesh.builders import (
     NODE_1,
     NODE_2,
     NODE_3,
+    FakeUpstream,
     InMemoryCluster,
     RequestSender,
     run_virtual,
@@ -26,6 +29,28 @@
     await asyncio.sleep(2.0)
 
 
+async def restart_all_nodes(cluster: InMemoryCluster, *, down_s: float = 0.8) -> None:
+    """Kill all nodes at once, and start them again beside the same upstreams."""
+    members = [cluster.kill(number) for number in list(cluster.members)]
+    await asyncio.sleep(down_s)
+    for member in members:
+        await cluster.add(member.cfg, upstream=member.upstream)
+    await asyncio.sleep(1.0)
+
+
+def stop_announcing(upstream: FakeUpstream) -> None:
+    """Let an upstream announce itself no more."""
+    assert upstream._announcing is not None
+    upstream._announcing.cancel()
+
+
+async def receive_late_heartbeat(upstream: FakeUpstream) -> None:
+    """Send a heartbeat that the upstream made before it left."""
+    upstream.state = "ready"
+    upstream.sequence -= 1
+    await upstream.announce()
+
+
 async def count_arrivals(cluster: InMemoryCluster, send_request: RequestSender) -> int:
     """Send requests through the other nodes; return how many reached the first upstream."""
     upstream = cluster.members[1].upstream
@@ -154,3 +179,140 @@
         assert await count_arrivals(cluster, send_request) > 0
 
     run_virtual(main)
+
+
+# DRAIN: a departure that was acknowledged was forgotten when all nodes were killed at once.
+@pytest.mark.parametrize("draining", [True, False])
+def test_departure_outlives_the_end_of_all_nodes(draining: bool) -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        stop_announcing(upstream)
+        upstream.state = "draining" if draining else "ready"
+        response = await (upstream.announce() if draining else upstream.leave())
+        assert response.status == 200
+        await restart_all_nodes(cluster)
+        await receive_late_heartbeat(upstream)
+        assert await count_arrivals(cluster, send_request) == 0
+
+    run_virtual(main)
+
+
+# DRAIN: a departure of an upstream that its node didn't know yet was told to no one.
+@pytest.mark.parametrize("kill_all", [True, False])
+def test_departure_before_any_heartbeat_outlives_its_node(kill_all: bool) -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        await restart_node(cluster, announcing=False)
+        assert (await upstream.leave()).status == 200
+        if kill_all:
+            await restart_all_nodes(cluster)
+        else:
+            await restart_node(cluster, announcing=False)
+        await receive_late_heartbeat(upstream)
+        assert await count_arrivals(cluster, send_request) == 0
+
+    run_virtual(main)
+
+
+def test_departure_outlives_the_end_of_all_nodes_again_and_again() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        stop_announcing(upstream)
+        await upstream.leave()
+        for _ in range(3):
+            await restart_all_nodes(cluster)
+        await receive_late_heartbeat(upstream)
+        assert await count_arrivals(cluster, send_request) == 0
+
+    run_virtual(main)
+
+
+def test_departure_whose_write_gets_no_response_is_acknowledged_and_remembered() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        stop_announcing(upstream)
+        cluster.store.faults.lost_responses = 1
+        assert (await upstream.leave()).status == 200
+        await restart_all_nodes(cluster)
+        await receive_late_heartbeat(upstream)
+        assert await count_arrivals(cluster, send_request) == 0
+
+    run_virtual(main)
+
+
+def test_departure_is_acknowledged_while_the_store_is_away_and_written_after_its_return() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        stop_announcing(upstream)
+        cluster.store.faults.status = 503
+        assert (await upstream.leave()).status == 200
+        await restart_node(cluster, announcing=False)
+        cluster.store.faults.status = 0
+        await asyncio.sleep(2.0)
+        await restart_all_nodes(cluster)
+        await receive_late_heartbeat(upstream)
+        assert await count_arrivals(cluster, send_request) == 0
+
+    run_virtual(main)
+
+
+def test_departure_lost_by_a_restored_store_is_written_again() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        stop_announcing(upstream)
+        topics = cluster.store.copy()
+        assert (await upstream.leave()).status == 200
+        cluster.store.restore(topics)
+        await asyncio.sleep(4.0)
+        await restart_all_nodes(cluster)
+        await receive_late_heartbeat(upstream)
+        assert await count_arrivals(cluster, send_request) == 0
+
+    run_virtual(main)
+
+
+def test_later_upstream_of_the_vm_gets_requests_after_the_end_of_all_nodes() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        stop_announcing(upstream)
+        await upstream.leave()
+        await restart_all_nodes(cluster)
+        upstream.id, upstream.sequence = "i-later", 0
+        upstream.born = time.time_ns() // 1_000_000
+        await upstream.announce()
+        assert await count_arrivals(cluster, send_request) > 0
+
+    run_virtual(main)
+
+
+def test_departure_is_written_to_the_store_once() -> None:
+    async def main() -> None:
+        cluster, _ = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        stop_announcing(upstream)
+        before = cluster.store.calls.count("/log-append")
+        upstream.state = "draining"
+        for _ in range(3):
+            await upstream.announce()
+        await upstream.leave()
+        await restart_all_nodes(cluster)
+        assert cluster.store.calls.count("/log-append") - before == 1 + len(cluster.members)
+
+    run_virtual(main)
+
+
+def test_departure_with_an_id_that_no_upstream_can_have_is_refused() -> None:
+    async def main() -> None:
+        cluster, _ = await start_cluster(NODE_1)
+        upstream = cluster.members[1].upstream
+        upstream.id = "i" * 129
+        assert (await upstream.leave()).status == 400
+
+    run_virtual(main)
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -11,6 +11,7 @@
 )
 from balsamhead.mesh.model import (
     Crash,
+    Departure,
     Directory,
     NodeRecord,
     OperatorState,
@@ -26,6 +27,10 @@
 
 UNKNOWN_STATE = OperatorState(-1, None, {})
 REFUSAL = Refusal(b"f" * 16, (Crash("node-1", 7, True, False, "desk"),), 60_000)
+DEPARTURES = (
+    Departure("i-1", 5, announced=True),
+    Departure("i-2", 7, announced=False),
+)
 NODE = NodeRecord("node-1", 5, "10.0.0.1:8004", "east-a", "east", "desk")
 
 
@@ -115,9 +120,32 @@
         _, _, records = await start_store()
         await records.write_node(NODE)
         await records.write_refusal(REFUSAL)
-        assert await records.read_directory() == Directory([NODE], [REFUSAL])
+        assert await records.read_directory() == Directory([NODE], [REFUSAL], {})
         await records.delete_refusal(REFUSAL.fingerprint)
-        assert await records.read_directory() == Directory([NODE], [])
+        assert await records.read_directory() == Directory([NODE], [], {})
+
+    run_virtual(main)
+
+
+def test_departures_are_read_by_node_and_replaced_by_later_ones() -> None:
+    async def main() -> None:
+        _, _, records = await start_store()
+        await records.write_departures("node-1", DEPARTURES[:1])
+        await records.write_departures("node-2", DEPARTURES[1:])
+        await records.write_departures("node-1", DEPARTURES)
+        directory = await records.read_directory()
+        assert directory.departures == {"node-1": DEPARTURES, "node-2": DEPARTURES[1:]}
+
+    run_virtual(main)
+
+
+def test_malformed_departures_are_skipped() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        store.put("keyed.nodes", "departures/node-1", b"\xffnothing")
+        store.put("keyed.nodes", "departures/node-2", codec.encode([("i-1", -1, True)]))
+        store.put("keyed.nodes", "departures/node-3", codec.encode([("i-1", "1", True)]))
+        assert (await records.read_directory()).departures == {}
 
     run_virtual(main)
 
