Decode messages strictly, and acknowledge that an upstream drains only once it has an effect

Cause: a heartbeat without zone, written by another process under the upstream's id, was taken for its newest, so that all that followed looked late; and 200 was answered whether a report had been applied or not.

Change: each message that the adapter decodes requires all its fields, within bounds; a heartbeat of another service is refused. "draining" gets 503 unless no request will be sent to that upstream any more. A whole heartbeat that looks newer than the upstream's own counts no longer after two intervals without another one.

--- a/balsamhead/mesh/_internal_endpoints.py
+++ b/balsamhead/mesh/_internal_endpoints.py
@@ -100,17 +100,30 @@
             except MalformedMessageError as exc:
                 logger.warning("announcement-malformed", extra={"error": str(exc)})
                 return Reply(400)
+            if record.service != self._cfg.service:
+                extra = {"upstream": upstream_id, "service": record.service}
+                logger.warning("announcement-of-other-service", extra=extra)
+                return Reply(400)
         elif not is_upstream_id(upstream_id):
             return Reply(400)
         if record is None:
             self._upstream.deregister(upstream_id)
         else:
             self._upstream.apply_announcement(record)
-        leaving = record is None or record.state is UpstreamState.DRAINING
-        if leaving and not await self._will_be_remembered(upstream_id):
-            return Reply(503)
+        if record is None or record.state is UpstreamState.DRAINING:
+            if not self._has_effect(upstream_id, record):
+                return Reply(503)
+            if not await self._will_be_remembered(upstream_id):
+                return Reply(503)
         return Reply(200, encode_heartbeat_response(), b"Content-Type: application/json\r\n")
 
+    def _has_effect(self, upstream_id: str, record: UpstreamRecord | None) -> bool:
+        """Return whether an upstream that says that it leaves gets no more requests."""
+        if record is None or self._upstream.is_known_to_leave(record):
+            return True
+        logger.warning("departure-not-applied", extra={"upstream": upstream_id})
+        return False
+
     async def _will_be_remembered(self, upstream_id: str) -> bool:
         """Wait until a departure would be known after a restart of this node.
 
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING, Final, NamedTuple
 
+from balsamhead.mesh._announcement_order import AnnouncementOrder
 from balsamhead.mesh._calls import (
     BodyRest,
     Call,
@@ -43,6 +44,8 @@
 _UNAVAILABLE_S: Final = 1.0
 #: announcements that may be missed before the upstream is considered unavailable
 _MISSED_ANNOUNCEMENTS: Final = 3
+#: announcements without which the newest one counts no longer, if older ones go on
+_SILENT_ANNOUNCEMENTS: Final = 2
 #: time after the deadline of a call at which its streamed response is cut, in s
 _STREAM_GRACE_S: Final = 0.5
 #: upper bound of a refusal's Retry-After, in s
@@ -91,6 +94,7 @@
         self._slow_start_ends_at = 0.0
         self._unavailable_until = 0.0
         self.departures = Departures()
+        self._order = AnnouncementOrder(silence_s=announce_interval_s * _SILENT_ANNOUNCEMENTS)
         #: notice of an upstream here that a peer has kept from the previous run of this node
         self._recalled: UpstreamNotice | None = None
         #: this incarnation of the upstream has responded to this run of the node
@@ -115,12 +119,8 @@
         key = (record.id, record.started_at_ms)
         if record.service != self._service or self.departures.is_outdated(record):
             return False
-        if self._precedes_recalled(record):
-            return False
-        if current is not None and (record.started_at_ms, record.sequence) <= (
-            current.started_at_ms,
-            current.sequence,
-        ):
+        now = self._loop.time()
+        if self._precedes_recalled(record) or not self._order.accept(record, now):
             return False
         if self.departures.has_left(record):
             record = record._replace(state=UpstreamState.DRAINING)
@@ -137,7 +137,6 @@
             self._slots.set_limit(None)
             self._heard_notices = False
             self._adopt_recalled_limit(record)
-        now = self._loop.time()
         self.record = record
         self._announced_at = now
         self._slow_start_ends_at = now + record.slow_start_s
@@ -155,6 +154,14 @@
         self._slots.start_queued()
         return True
 
+    def is_known_to_leave(self, record: UpstreamRecord) -> bool:
+        """Return whether no request will be sent to the upstream of an announcement."""
+        if record.service != self._service:
+            return False
+        current = self.record
+        is_other = current is not None and current.id != record.id
+        return is_other or self.departures.has_left(record)
+
     def deregister(self, upstream_id: str) -> bool:
         """Deregister the upstream, so that it gets no more requests.
 
--- a/balsamhead/platform/messages.py
+++ b/balsamhead/platform/messages.py
@@ -56,45 +56,46 @@
 }
 #: number of slots that an upstream may announce
 _SlotCount = Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
 _Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 #: id of an upstream: it stands in a header of each request
 _UPSTREAM_ID: Final = re.compile(r"[!-~]{1,128}")
 
 
 class _Backend(msgspec.Struct):
-    service: str
-    weight: float
+    service: _Name
+    weight: Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 
 
 class _Route(msgspec.Struct):
     host: str
-    path_prefix: str
+    path_prefix: Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?$")]
     kind: str
     timeout: str
     target_latency: str = ""
-    priority: int = 0
+    priority: _Integer = 0
     service: str = ""
     backends: list[_Backend] = []
     max_attempts: int = 1
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: _Integer
+    max_body_bytes: _Integer
     header_timeout: str
     idle_timeout: str
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Integer
     routes: dict[str, _Route]
     services: dict[str, dict[str, object]]
     limits: _Limits
 
 
 class _Order(msgspec.Struct):
-    service: str
-    target_version: str
+    service: _Name
+    target_version: _Name
     duration: str
 
 
@@ -106,14 +107,15 @@
 
 
 class _Heartbeat(msgspec.Struct):
-    service: str
+    service: _Name
     address: str
-    version: str
+    zone: _Name
+    version: _Name
     slots: _SlotCount
     state: str
+    cold_left: str
     sequence: _Integer
     born: _Integer
-    cold_left: str = "0ms"
 
 
 def decode_config(data: bytes) -> Config:
--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -271,16 +271,22 @@
     refusal = _decode(record, Refusal, step="decode-refusal")
     if _make_refusal_key(refusal.fingerprint) != record.key:
         raise MalformedMessageError("record is of another request", step="decode-refusal")
+    times = [refusal.expires_at_ms, *(crash.started_at_ms for crash in refusal.crashes)]
+    _check_times(times, step="decode-refusal")
     return refusal
 
 
 def _decode_departures(record: KeyedRecord) -> tuple[Departure, ...]:
     departures = _decode(record, tuple[Departure, ...], step="decode-departures")
-    if not all(0 <= row.time_ms <= MAX_INTEGER for row in departures):
-        raise MalformedMessageError("time is out of range", step="decode-departures")
+    _check_times([row.time_ms for row in departures], step="decode-departures")
     return departures
 
 
+def _check_times(times_ms: Iterable[int], *, step: str) -> None:
+    if not all(0 <= time_ms <= MAX_INTEGER for time_ms in times_ms):
+        raise MalformedMessageError("time is out of range", step=step)
+
+
 def _decode(record: KeyedRecord, kind: type[T], *, step: str) -> T:
     if len(record.value) > _MAX_NODE_BYTES:
         raise MalformedMessageError("record is too large", step=step)
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -13,6 +13,7 @@
 LAYERS = (
     (
         "_prior_attempts",
+        "_announcement_order",
         "_budget",
         "_calls",
         "_departures",
--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -170,8 +170,8 @@
         self._server = HttpServer(self._run, get_limits=lambda: LIMITS)
         await self.start()
 
-    async def announce(self, **changes: object) -> Response:
-        """Announce itself, with some fields changed."""
+    async def announce(self, *, without: object = None, **changes: object) -> Response:
+        """Announce itself, with some fields changed, or without one."""
         self.sequence += 1
         body = {
             "service": self.cfg.service,
@@ -185,6 +185,7 @@
             "born": self.born,
             **changes,
         }
+        body = {name: value for name, value in body.items() if name != without}
         return await send(
             self.cfg.announce_address, "PUT", f"/instances/{self.id}", json.dumps(body).encode()
         )
--- a/tests/test_mesh/test_announcements.py
+++ b/tests/test_mesh/test_announcements.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.test_mesh.builders import (
     NODE_1,
     NODE_2,
@@ -69,3 +71,52 @@
         assert (await send_request(NODE_1)).status == 200
 
     run_virtual(main)
+
+
+# DRAIN: a heartbeat without a zone was taken for the upstream's, and its "draining" was ignored.
+@pytest.mark.parametrize("field", ["zone", "cold_left"])
+def test_heartbeat_that_lacks_a_field_does_not_hide_that_the_upstream_drains(field: str) -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        assert (await upstream.announce(without=field, born=9000)).status == 400
+        upstream.state = "draining"
+        assert (await upstream.announce()).status == 200
+        before = len(upstream.requests)
+        for _ in range(10):
+            assert (await send_request(NODE_3)).status == 200
+        assert len(upstream.requests) == before
+
+    run_virtual(main)
+
+
+# DRAIN: "draining" was acknowledged, but not acted upon, after a heartbeat that looked newer.
+def test_draining_is_acknowledged_only_once_it_has_an_effect() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        assert (await upstream.announce(born=9000)).status == 200
+        upstream.state = "draining"
+        statuses = []
+        for _ in range(10):
+            statuses.append((await upstream.announce()).status)
+            await asyncio.sleep(0.5)
+        assert statuses[0] == 503
+        assert statuses[-1] == 200
+        before = len(upstream.requests)
+        for _ in range(10):
+            assert (await send_request(NODE_3)).status == 200
+        assert len(upstream.requests) == before
+
+    run_virtual(main)
+
+
+def test_heartbeat_of_another_service_is_refused() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1)
+        upstream = cluster.members[1].upstream
+        response = await upstream.announce(service="registry", state="draining", born=9000)
+        assert response.status == 400
+        assert (await send_request(NODE_1)).status == 200
+
+    run_virtual(main)
