--- a/balsamhead/platform/messages.py
+++ b/balsamhead/platform/messages.py
@@ -69,7 +69,7 @@
 
 class _Route(msgspec.Struct):
     host: str
-    path_prefix: Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?$")]
+    path_prefix: str
     kind: str
     timeout: str
     target_latency: str = ""
@@ -216,6 +216,8 @@
 
 
 def _convert_route(name: str, raw: _Route) -> Route:
+    if not (raw.path_prefix.startswith("/") and raw.path_prefix.endswith("/")):
+        raise ValueError(f"prefix {raw.path_prefix[:80]!r} doesn't begin and end with a slash")
     services = [WeightedService(row.service, row.weight) for row in raw.backends]
     if raw.service:
         services = [WeightedService(raw.service, 1.0)]
