Dial lost peers for good, at a bounded rate, so that a divided mesh heals

Cause: a failed dial says nothing of how long a peer will be away, but the count of failures decided that it was gone.

Change: after 8 failed dials a peer is lost. All lost peers together are dialled once a second, each at most each 4 s. Once one of them is reached, or dials, all others get two dials at the usual pace, 30 a second, since they may have been behind the same cut. Only a peer that had said that it stops is forgotten, as before, and the oldest of more than 4,096.

--- a/balsamhead/mesh/_link_manager.py
+++ b/balsamhead/mesh/_link_manager.py
@@ -11,6 +11,7 @@
 from balsamhead.mesh._flow_control import InFlightLimit
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header, encode_frame
 from balsamhead.mesh._link import Link
+from balsamhead.mesh._lost_peers import LostPeers
 from balsamhead.mesh._peers import Heartbeat, Hello, Peer, PeerTable, UpstreamView
 from balsamhead.mesh.model import Load, NodeRecord, UpstreamNotice
 from balsamhead.util.addresses import parse_address
@@ -46,8 +47,14 @@
 #: exponential backoff between connection attempts to a peer, in s: first and longest delay
 _INITIAL_BACKOFF_S: Final = 0.15
 _MAX_BACKOFF_S: Final = 4.0
-#: consecutive failed connection attempts after which a peer is removed
-_MAX_FAILED_DIALS: Final = 40
+#: consecutive failed connection attempts after which a peer is lost, and is dialled more rarely
+_MAX_FAILED_DIALS: Final = 8
+#: the same after which a peer that had said that it stops is removed
+_MAX_FAILED_DIALS_STOPPED: Final = 40
+#: attempts that a lost peer gets at the usual pace once another lost one has been reached, and the
+#: rate at which they begin, in 1/s
+_RENEWED_DIALS: Final = 2
+_RENEWED_DIALS_PER_S: Final = 30.0
 #: interval at which all links are checked, in s
 _MAINTENANCE_INTERVAL_S: Final = 0.15
 #: extra delay before the node with the greater name reconnects, so that the other node dials
@@ -104,6 +111,7 @@
         self._load_timer: asyncio.TimerHandle | None = None
         self._last_sent_load = Load(0, 0.0)
         self.table = PeerTable(own_record)
+        self._lost_peers = LostPeers()
         #: incremented when a link or a peer is added or removed, or when a peer's upstream or
         #: stopping state changes
         self.epoch = 0
@@ -143,6 +151,9 @@
 
     def add_node(self, record: NodeRecord) -> None:
         """Add a node to the table of peers, or update its record."""
+        known = self.table.peers.get(record.name)
+        if known is not None and known.record.address != record.address:
+            self._lost_peers.discard(record.name)
         self.table.add(record)
 
     def get_suspect_timeout(self, peer: Peer) -> float:
@@ -230,6 +241,7 @@
                 heartbeat_due.append(peer)
         if heartbeat_due:
             self._send_heartbeats(heartbeat_due, now)
+        self._dial_lost_peer(now)
 
     def _send_heartbeats(self, peers: list[Peer], now: float) -> None:
         data = encode_frame(FrameKind.HEARTBEAT, 0, self._handler.make_heartbeat())
@@ -242,7 +254,8 @@
         """Dial a peer without a link, close a silent one; return whether a heartbeat is due."""
         link = peer.link
         if link is None or not link.is_open():
-            if not peer.dialling and now >= peer.dial_at:
+            is_due = not peer.dialling and now >= peer.dial_at
+            if is_due and peer.record.name not in self._lost_peers:
                 self._dial(peer)
             return False
         interval = _NEARBY_HEARTBEAT_INTERVAL_S if peer.nearby else _REMOTE_HEARTBEAT_INTERVAL_S
@@ -282,7 +295,7 @@
             self._handle_failed_dial(peer, exc)
         else:
             link.peer = peer.record.name
-            peer.failed_dials = 0
+            self._handle_reached(peer)
             self._heartbeat_sent_at[link.peer] = self._loop.time()
             self._select_link(peer, link)
         finally:
@@ -294,10 +307,40 @@
         peer.dial_at = self._loop.time() + backoff_s * (0.5 + self._rng.random())
         if peer.failed_dials == 1:
             logger.info("peer-unreachable", extra={"peer": peer.record.name, "error": repr(exc)})
-        if peer.failed_dials > _MAX_FAILED_DIALS:
-            del self.table.peers[peer.record.name]
-            self.epoch += 1
-            logger.info("peer-forgotten", extra={"peer": peer.record.name})
+        if peer.stopping:
+            if peer.failed_dials > _MAX_FAILED_DIALS_STOPPED:
+                self._forget(peer.record.name)
+        elif peer.failed_dials > _MAX_FAILED_DIALS and peer.record.name not in self._lost_peers:
+            logger.info("peer-lost", extra={"peer": peer.record.name, "dials": peer.failed_dials})
+            forgotten = self._lost_peers.add(peer, self._loop.time())
+            if forgotten is not None:
+                self._forget(forgotten)
+
+    def _forget(self, name: str) -> None:
+        del self.table.peers[name]
+        self.epoch += 1
+        logger.info("peer-forgotten", extra={"peer": name})
+
+    def _dial_lost_peer(self, now: float) -> None:
+        name = self._lost_peers.pop_due(now)
+        if name is not None and not self.table.peers[name].dialling:
+            self._dial(self.table.peers[name])
+
+    def _handle_reached(self, peer: Peer) -> None:
+        """Record that a peer could be reached; other lost ones are dialled again soon, too.
+
+        They may all have been behind the same cut, which has ended.
+        """
+        peer.failed_dials = 0
+        if not self._lost_peers.discard(peer.record.name):
+            return
+        names = self._lost_peers.drain()
+        logger.info("peer-reached", extra={"peer": peer.record.name, "lost": len(names)})
+        now = self._loop.time()
+        for name in names:
+            other = self.table.peers[name]
+            other.failed_dials = _MAX_FAILED_DIALS + 1 - _RENEWED_DIALS
+            other.dial_at = now + self._rng.random() * len(names) / _RENEWED_DIALS_PER_S
 
     def _send_load(self) -> None:
         self._load_timer = None
@@ -392,7 +435,7 @@
             return
         link.peer = hello.node.name
         if not link.dialled:
-            peer.failed_dials = 0
+            self._handle_reached(peer)
             self._select_link(peer, link)
         peer.hello_received = True
         peer.upstream = hello.upstream
--- a/balsamhead/mesh/_peers.py
+++ b/balsamhead/mesh/_peers.py
@@ -215,6 +215,7 @@
             peer.record = record
             peer.nearby = nearby
             peer.dial_at = 0.0
+            peer.failed_dials = 0
         return peer
 
 
--- a/standin/virtual_network.py
+++ b/standin/virtual_network.py
@@ -97,6 +97,8 @@
         other = self.other
         if self._is_closing or other is None or self.is_blackholed or not data:
             return
+        if self._loop.network.is_path_cut(self):
+            return
         if self._loop.network.is_path_held(self):
             self.held_data.append(bytes(data))
             return
@@ -154,7 +156,11 @@
             return
         self._loop.call_soon(self._notify_connection_lost, None, context=self.context)
         other = self.other
-        if other is not None and not self.is_blackholed:
+        if (
+            other is not None
+            and not self.is_blackholed
+            and not self._loop.network.is_path_cut(self)
+        ):
             self._loop.call_at(
                 self._next_arrival(), other.handle_peer_close, exc, context=other.context
             )
@@ -206,6 +212,8 @@
         #: addresses to which a connect attempt gets no response
         self.unresponsive: set[str] = set()
         self.held_hosts: set[str] = set()
+        #: returns whether nothing passes between two hosts; what is sent meanwhile is lost
+        self.is_cut: Callable[[str, str], bool] = lambda host, peer: False
         #: rate at which a host sends to others, in bytes/s; unlimited if it is not listed
         self.send_rates: dict[str, float] = {}
         self._idle_at: dict[str, float] = {}
@@ -243,6 +251,10 @@
         hosts = {transport.local.split(":")[0], transport.peer.split(":")[0]}
         return len(hosts) > 1 and bool(hosts & self.held_hosts)
 
+    def is_path_cut(self, transport: MemoryTransport) -> bool:
+        """Return whether the traffic of a connection is lost because of a cut."""
+        return self.is_cut(transport.local.split(":")[0], transport.peer.split(":")[0])
+
     def disconnect(self, host: str, *, blackhole: bool = False) -> None:
         """Abort the connections of a host or, if ``blackhole``, drop all their further data."""
         for transport in list(self.connections):
@@ -304,8 +316,10 @@
         own_host = CURRENT_HOST.get()
         await asyncio.sleep(2 * self.network.get_delay(own_host, host))
         hosts = {host, own_host}
-        while address in self.network.unresponsive or (
-            len(hosts) > 1 and hosts & self.network.held_hosts
+        while (
+            address in self.network.unresponsive
+            or (len(hosts) > 1 and hosts & self.network.held_hosts)
+            or self.network.is_cut(own_host, host)
         ):
             await asyncio.sleep(1.0)
         make_server_protocol = self.network.listeners.get(address)
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -57,7 +57,7 @@
     ("_crash_registry",),
     ("_refusal_archive", "_crash_archive"),
     ("_peers", "_connection_pool"),
-    ("_crash_guard", "_reader_selection", "_caller_crash_view"),
+    ("_crash_guard", "_reader_selection", "_caller_crash_view", "_lost_peers"),
     ("_upstream",),
     ("_link_manager", "_evidence", "_state_pull", "_internal_endpoints"),
     ("_upstream_index", "_rollouts", "_sync"),
