Let what rollouts decided outlast their coordinator, and start without metrics if their port is taken

Three points that the review saw without a case. A rollback whose coordinator ended before it had written the status was never written: the next coordinator did nothing for a rollout that had ended. It looks the status up once now, and writes it. A version whose order was replaced, or that was rolled back before the newest order, got requests again after a restart, since only nodes that had seen it knew; it is in the topic of the nodes now, one record a service, written by the coordinator, and in a frame on each new link.

--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -69,6 +69,8 @@
     CALL_STREAM = 36
     CALL_CREDIT = 37
     CALL_END = 38
+    # versions that get no calls until they are ordered again
+    WITHDRAWN = 39
 
 
 class Frame(NamedTuple):
--- a/balsamhead/mesh/_internal_endpoints.py
+++ b/balsamhead/mesh/_internal_endpoints.py
@@ -35,6 +35,13 @@
 #: longest time that an acknowledgement of a departure waits for the store, in s; an upstream gives
 #: up after a second
 _STORE_TIMEOUT_S: Final = 0.5
+#: settings with addresses at which the node listens
+_ADDRESS_SETTINGS: Final = (
+    "caller_address",
+    "ready_address",
+    "announce_address",
+    "peer_address",
+)
 
 
 class InternalEndpoints:
@@ -72,9 +79,24 @@
         """
         await self._ready.start(self._cfg.ready_address)
         await self._announcements.start(self._cfg.announce_address)
-        if self._cfg.metrics_port:
-            host = self._cfg.peer_address.rpartition(":")[0]
-            await self._metrics_server.start(f"{host}:{self._cfg.metrics_port}")
+        await self._start_metrics()
+
+    async def _start_metrics(self) -> None:
+        """Serve metrics, unless another address of the node has their port.
+
+        That port may be drawn anew for each deployment, and calls matter more than metrics.
+        """
+        cfg = self._cfg
+        if not cfg.metrics_port:
+            return
+        host = cfg.peer_address.rpartition(":")[0]
+        address = f"{host}:{cfg.metrics_port}"
+        taken_by = [name for name in _ADDRESS_SETTINGS if getattr(cfg, name) == address]
+        if taken_by:
+            extra = {"metrics_port": cfg.metrics_port, "taken_by": taken_by, "address": address}
+            logger.error("metrics-port-taken", extra=extra)
+            return
+        await self._metrics_server.start(address)
 
     def stop_listening(self) -> None:
         """Close all listening sockets."""
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -29,6 +29,7 @@
     "UpstreamRecord",
     "UpstreamState",
     "WeightedService",
+    "WithdrawnVersion",
 )
 
 
@@ -247,6 +248,16 @@
     announced: bool
 
 
+class WithdrawnVersion(NamedTuple):
+    """Version of a service that gets no calls until it is ordered again."""
+
+    version: str
+    #: offset of the order that was rolled back or replaced
+    order: int
+    #: it was rolled back; otherwise another order replaced its own before it was completed
+    rolled_back: bool
+
+
 class Directory(NamedTuple):
     """What nodes keep in the store for each other."""
 
@@ -256,6 +267,8 @@
     departures: dict[str, tuple[Departure, ...]]
     #: crashes of upstreams, by the name of their node
     crash_reports: dict[str, CrashReport]
+    #: versions that get no calls, by service
+    withdrawn: dict[str, tuple[WithdrawnVersion, ...]]
 
 
 class Phase(StrEnum):
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -232,6 +232,7 @@
         self._refusal_archive.stop()
         self._crash_archive.stop()
         self._stored_departures.stop()
+        self._rollouts.stop()
         self._caller_server.stop_listening()
         self._internal_endpoints.stop_listening()
         self._link_manager.stop()
@@ -289,6 +290,7 @@
         self._local_upstream.restore_departures(own_departures)
         self._stored_departures.set_stored(own_departures)
         self._crash_archive.restore(directory.crash_reports)
+        self._rollouts.restore_withdrawn(directory.withdrawn)
         self._links_deadline = self._loop.time() + _READY_LINK_TIMEOUT_S
         self._registered_era = written_era
         logger.info("nodes-loaded", extra={"nodes": len(directory.nodes), "era": written_era})
@@ -387,6 +389,7 @@
             link.send(FrameKind.UPSTREAM_RECALL, 0, peer.notice)
         self._crash_exchange.send_known(link)
         self._sync.peer_linked(link)
+        self._rollouts.send_withdrawn(link)
         link.send(FrameKind.FEATURES, 0, FEATURES)
 
     def peer_state_received(self, peer: Peer, link: Link) -> None:
@@ -412,6 +415,8 @@
                 self._rollouts.handle_state(frame, link)
             case FrameKind.EVIDENCE:
                 self._rollouts.handle_evidence(frame, link)
+            case FrameKind.WITHDRAWN:
+                self._rollouts.handle_withdrawn(frame, link)
             case FrameKind.CRASHES:
                 self._crash_exchange.handle_crashes(link, frame)
             case FrameKind.CRASHES_CLEARED:
--- a/balsamhead/mesh/_records.py
+++ b/balsamhead/mesh/_records.py
@@ -15,6 +15,7 @@
         OperatorState,
         Refusal,
         Rollout,
+        WithdrawnVersion,
     )
 
 __all__ = ("CrashReportStore", "DepartureStore", "RecordStore", "RefusalStore", "RolloutStore")
@@ -36,6 +37,12 @@
         :raises LogError: the store gave no valid response.
         """
 
+    async def write_withdrawn(self, service: str, rows: Sequence[WithdrawnVersion]) -> None:
+        """Write the withdrawn versions of a service, in place of those written before.
+
+        :raises LogError: the write failed, or its outcome is unknown.
+        """
+
 
 class RefusalStore(Protocol):
     """Persistent refusals of requests that crash upstreams, for nodes that start later."""
--- a/balsamhead/mesh/_rollout_exchange.py
+++ b/balsamhead/mesh/_rollout_exchange.py
@@ -9,10 +9,11 @@
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header, encode_frame
 from balsamhead.mesh._peers import rank_nodes
 from balsamhead.mesh._rollouts import RolloutController, UpstreamSummary
-from balsamhead.mesh.model import Phase, Rollout
+from balsamhead.mesh._stored_record import StoredRecord
+from balsamhead.mesh.model import Phase, Rollout, WithdrawnVersion
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from balsamhead.mesh._link import Link
     from balsamhead.mesh._link_manager import LinkManager
@@ -37,6 +38,11 @@
     rows: list[EvidenceRow]
 
 
+class _WithdrawnHeader(NamedTuple):
+    service: str
+    rows: tuple[WithdrawnVersion, ...]
+
+
 class RolloutExchange:
     """Connect the rollouts of this node with those of its peers."""
 
@@ -54,6 +60,11 @@
         self._traffic_split = traffic_split
         self._get_own_upstream = get_own_upstream
         self._outcome_counts = CallCounter()
+        self._records = records
+        #: what the store holds of the withdrawn versions of services that this node coordinates
+        self._stored_withdrawn: dict[str, StoredRecord[tuple[WithdrawnVersion, ...]]] = {}
+        #: the same as it was read at the start; None before that
+        self._read_withdrawn: Mapping[str, tuple[WithdrawnVersion, ...]] | None = None
         self._controller = RolloutController(traffic_split, records, publish=self._publish)
         #: the node stops and coordinates no more rollouts
         self.stopping = False
@@ -90,6 +101,49 @@
         for order in orders:
             if self._find_coordinator(order.service) == self._own_record.name:
                 self._controller.advance(order, self._summarize(order.service, order.version))
+                self._store_withdrawn(order.service)
+
+    def restore_withdrawn(self, withdrawn: Mapping[str, tuple[WithdrawnVersion, ...]]) -> None:
+        """Adopt the withdrawn versions that the store holds."""
+        self._read_withdrawn = withdrawn
+        self._stored_withdrawn.clear()
+        for service, rows in withdrawn.items():
+            self._traffic_split.restore_withdrawn(service, rows)
+
+    def _store_withdrawn(self, service: str) -> None:
+        """Write the withdrawn versions of a service, if the store holds others."""
+        if self._read_withdrawn is None:
+            return
+        record = self._stored_withdrawn.get(service)
+        if record is None:
+            record = self._stored_withdrawn[service] = StoredRecord(
+                get_value=lambda: self._traffic_split.list_withdrawn(service),
+                write=lambda rows: self._records.write_withdrawn(service, rows),
+                failure_event="withdrawn-not-written",
+            )
+            record.set_stored(self._read_withdrawn.get(service, ()))
+        else:
+            record.update()
+
+    def stop(self) -> None:
+        """Cancel the writes that are in progress or due."""
+        self._controller.stop()
+        for record in self._stored_withdrawn.values():
+            record.stop()
+
+    def send_withdrawn(self, link: Link) -> None:
+        """Send the withdrawn versions of all services to a peer."""
+        for service in self._traffic_split.list_withdrawn_services():
+            rows = self._traffic_split.list_withdrawn(service)
+            link.send(FrameKind.WITHDRAWN, 0, _WithdrawnHeader(service, rows))
+
+    def handle_withdrawn(self, frame: Frame, link: Link) -> None:
+        """Adopt the withdrawn versions that a peer knows.
+
+        :raises MalformedMessageError: the frame can't be decoded.
+        """
+        header = decode_header(frame, _WithdrawnHeader, peer=link.peer)
+        self._traffic_split.restore_withdrawn(header.service, header.rows)
 
     def send_states(self, link: Link) -> None:
         """Send the states of all rollouts to a peer."""
--- a/balsamhead/mesh/_rollouts.py
+++ b/balsamhead/mesh/_rollouts.py
@@ -78,10 +78,17 @@
         self._last_step_at: dict[str, float] = {}
         self._calls_at_last_step: dict[str, int] = {}
         self._writing_ends: set[str] = set()
+        #: order of the last rollout of each service whose end is known to be written
+        self._written_ends: dict[str, int] = {}
         #: services whose rollout has to be written again
         self._rewrites_due: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def stop(self) -> None:
+        """Cancel the writes that are in progress or due."""
+        for task in self._tasks:
+            task.cancel()
+
     def record_order(self, order: Order) -> None:
         """Record when an order was first received; a newer order replaces an older one."""
         known = self._started.get(order.service)
@@ -135,6 +142,7 @@
             self._rewrites_due.discard(order.service)
             self._write_again(rollout)
         if rollout.phase is not Phase.RUNNING:
+            self._finish_end(rollout)
             return
         comparison = self._get_comparison(rollout)
         comparison.end_period(now)
@@ -219,6 +227,15 @@
         self._publish(rolled_back)
         self._write_end(rolled_back)
 
+    def _finish_end(self, rollout: Rollout) -> None:
+        """Write the end of a rollout that another node has rolled back, unless it is written.
+
+        That node may have ended before it could write it; a completed rollout is announced later.
+        """
+        is_written = self._written_ends.get(rollout.service, -1) >= rollout.order
+        if rollout.phase is Phase.ROLLED_BACK and not is_written:
+            self._write_end(rollout)
+
     def _write_end(self, rollout: Rollout) -> None:
         if rollout.service not in self._writing_ends:
             self._writing_ends.add(rollout.service)
@@ -236,6 +253,7 @@
                     await asyncio.sleep(_WRITE_RETRY_S)
                     continue
                 if recorded.phase is not Phase.RUNNING:
+                    self._written_ends[recorded.service] = recorded.order
                     logger.info(
                         "rollout-ended",
                         extra={"service": recorded.service, "phase": recorded.phase.value},
--- a/balsamhead/mesh/_traffic_split.py
+++ b/balsamhead/mesh/_traffic_split.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
-from balsamhead.mesh.model import Phase, Rollout
+from balsamhead.mesh.model import Phase, Rollout, WithdrawnVersion
 from balsamhead.util.positions import get_generation
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from balsamhead.mesh.model import Order
 
 __all__ = ("TrafficSplit",)
 
-_ENDED_PHASES = (Phase.COMPLETED, Phase.ROLLED_BACK)
+_ENDED_PHASES: Final = (Phase.COMPLETED, Phase.ROLLED_BACK)
+#: number of withdrawn versions of a service that are listed
+_MAX_WITHDRAWN: Final = 16
 
 
 class TrafficSplit:
@@ -54,12 +56,32 @@
         if current is not None and _get_precedence(current) >= _get_precedence(rollout):
             return False
         if current is not None and current.order < rollout.order and current.phase is Phase.RUNNING:
-            _withdraw(self._replaced, current)
+            _withdraw(self._replaced, current.service, current.version, current.order)
         if rollout.phase is Phase.ROLLED_BACK:
-            _withdraw(self._rolled_back, rollout)
+            _withdraw(self._rolled_back, rollout.service, rollout.version, rollout.order)
         self.rollouts[rollout.service] = rollout
         return True
 
+    def list_withdrawn(self, service: str) -> tuple[WithdrawnVersion, ...]:
+        """Return the newest versions of a service that get calls only if ordered again."""
+        rows = [
+            WithdrawnVersion(version, order, rolled_back)
+            for rolled_back, withdrawn in ((True, self._rolled_back), (False, self._replaced))
+            for version, order in withdrawn.get(service, {}).items()
+        ]
+        rows.sort(key=lambda row: (row.order, row))
+        return tuple(rows[-_MAX_WITHDRAWN:])
+
+    def list_withdrawn_services(self) -> list[str]:
+        """Return the services with such versions."""
+        return sorted(self._rolled_back.keys() | self._replaced.keys())
+
+    def restore_withdrawn(self, service: str, rows: Iterable[WithdrawnVersion]) -> None:
+        """Add versions that another node, or an earlier run of this one, has listed."""
+        for row in rows:
+            withdrawn = self._rolled_back if row.rolled_back else self._replaced
+            _withdraw(withdrawn, service, row.version, row.order)
+
     def renumber(self, order: Order) -> int | None:
         """Adopt the position of an order that was recorded again after the store was restored.
 
@@ -80,7 +102,7 @@
             return current
         rollout = self.rollouts[current.service] = current._replace(order=order)
         if rollout.phase is Phase.ROLLED_BACK:
-            _withdraw(self._rolled_back, rollout)
+            _withdraw(self._rolled_back, rollout.service, rollout.version, rollout.order)
         return rollout
 
     def _is_withdrawn(
@@ -136,9 +158,9 @@
         return new if takes_new else old
 
 
-def _withdraw(withdrawn: dict[str, dict[str, int]], rollout: Rollout) -> None:
-    versions = withdrawn.setdefault(rollout.service, {})
-    versions[rollout.version] = max(rollout.order, versions.get(rollout.version, -1))
+def _withdraw(withdrawn: dict[str, dict[str, int]], service: str, version: str, order: int) -> None:
+    versions = withdrawn.setdefault(service, {})
+    versions[version] = max(order, versions.get(version, -1))
 
 
 def _is_same_rollout(one: Rollout, other: Rollout) -> bool:
--- a/balsamhead/mesh/model.py
+++ b/balsamhead/mesh/model.py
@@ -24,6 +24,7 @@
     UpstreamRecord,
     UpstreamState,
     WeightedService,
+    WithdrawnVersion,
 )
 
 __all__ = (
@@ -48,4 +49,5 @@
     "UpstreamRecord",
     "UpstreamState",
     "WeightedService",
+    "WithdrawnVersion",
 )
--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -23,6 +23,7 @@
     Phase,
     Refusal,
     Rollout,
+    WithdrawnVersion,
 )
 from balsamhead.platform.messages import (
     CONFIG_KEY,
@@ -55,6 +56,8 @@
 _DEPARTURES_KEY_PREFIX: Final = "departures/"
 #: prefix of the keys of crashes in the topic of the nodes, before the name of their node
 _CRASHES_KEY_PREFIX: Final = "crashes/"
+#: prefix of the keys of withdrawn versions in the topic of the nodes, before the name of a service
+_WITHDRAWN_KEY_PREFIX: Final = "withdrawn/"
 #: largest record in the topic of the nodes that is decoded, in bytes; decoding a large one takes
 #: long
 _MAX_NODE_BYTES: Final = 4096
@@ -173,15 +176,24 @@
         """
         await self._store.append_keyed(_NODES_TOPIC, _CRASHES_KEY_PREFIX + node, b"")
 
+    async def write_withdrawn(self, service: str, rows: Sequence[WithdrawnVersion]) -> None:
+        """Write the withdrawn versions of a service, in place of those written before.
+
+        :raises LogError: the record was not written, or it is unknown whether it was.
+        """
+        await self._store.append_keyed(
+            _NODES_TOPIC, _WITHDRAWN_KEY_PREFIX + service, codec.encode(rows)
+        )
+
     async def read_directory(self) -> Directory:
-        """Return the records of all nodes, the refusals, the departures and the crashes.
+        """Return the records of all nodes, and what they keep there for each other.
 
         Records that can't be decoded are left out.
 
         :raises LogError: the store gave no valid response.
         """
         newest = await self._store.read_newest(_NODES_TOPIC)
-        directory = Directory([], [], {}, {})
+        directory = Directory([], [], {}, {}, {})
         for record in newest.records:
             try:
                 _add_to_directory(directory, record)
@@ -274,6 +286,8 @@
         directory.departures[name] = _decode_departures(record)
     elif prefix == _CRASHES_KEY_PREFIX:
         directory.crash_reports[name] = _decode_crash_report(record)
+    elif prefix == _WITHDRAWN_KEY_PREFIX:
+        directory.withdrawn[name] = _decode_withdrawn(record)
     else:
         directory.nodes.append(_decode_node(record))
 
@@ -315,6 +329,13 @@
     return report
 
 
+def _decode_withdrawn(record: KeyedRecord) -> tuple[WithdrawnVersion, ...]:
+    rows = _decode(record, tuple[WithdrawnVersion, ...], step="decode-withdrawn")
+    if not all(0 <= row.order <= MAX_INTEGER for row in rows):
+        raise MalformedMessageError("order is out of range", step="decode-withdrawn")
+    return rows
+
+
 def _check_times(times_ms: Iterable[int], *, step: str) -> None:
     if not all(0 <= time_ms <= MAX_INTEGER for time_ms in times_ms):
         raise MalformedMessageError("time is out of range", step=step)
--- a/bench/area_cuts.py
+++ b/bench/area_cuts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 from typing import Final
 
@@ -39,6 +40,7 @@
 def measure_cut(kind: str, minutes: int) -> CutFigures:
     """Start a mesh, divide it for a time, and wait until it is whole."""
     figures: list[CutFigures] = []
+    logging.getLogger("balsamhead").setLevel(logging.CRITICAL)
 
     async def main() -> None:
         cluster = await start_mesh(NODE_COUNT)
--- a/tests/test_platform/test_odd_messages.py
+++ b/tests/test_platform/test_odd_messages.py
@@ -16,7 +16,15 @@
 from hypothesis import strategies as st
 
 from balsamhead.errors import MalformedMessageError
-from balsamhead.mesh.model import Crash, CrashReport, Departure, NodeRecord, Refusal, SuspectRow
+from balsamhead.mesh.model import (
+    Crash,
+    CrashReport,
+    Departure,
+    NodeRecord,
+    Refusal,
+    SuspectRow,
+    WithdrawnVersion,
+)
 from balsamhead.platform.messages import (
     decode_config,
     decode_heartbeat,
@@ -143,6 +151,7 @@
     "node-1": NodeRecord("node-1", 5, "10.0.0.1:8004", "east-a", "east", "desk"),
     "refusal/" + "66" * 16: Refusal(b"f" * 16, (Crash("node-1", 7, True, False, "desk"),), 60_000),
     "departures/node-1": (Departure("i-1", 5, announced=True),),
+    "withdrawn/desk": (WithdrawnVersion("v2", 5, rolled_back=True),),
     "crashes/node-1": CrashReport(
         60_000, (SuspectRow(b"f" * 16, Crash("node-1", 7, True, False, "desk")),)
     ),
@@ -154,14 +163,15 @@
     key: str, data: st.DataObject, value: Any
 ) -> None:
     plain = msgspec.to_builtins(RECORDS[key], builtin_types=(bytes,))
-    rows = plain[0] if key.startswith("departures/") else plain
+    is_list = key.startswith(("departures/", "withdrawn/"))
+    rows = plain[0] if is_list else plain
     place = data.draw(st.integers(0, len(rows) - 1))
     if type(value) is type(rows[place]) and value not in (-1, 10**40):
         return
     if value == [] and isinstance(rows[place], (list, tuple)):
         return
     odd_row = [*rows[:place], value, *rows[place + 1 :]]
-    odd = [odd_row] if key.startswith("departures/") else odd_row
+    odd = [odd_row] if is_list else odd_row
 
     async def main() -> None:
         store = PlatformStore()
@@ -173,5 +183,6 @@
         assert directory.refusals == []
         assert directory.departures == {}
         assert directory.crash_reports == {}
+        assert directory.withdrawn == {}
 
     run_virtual(main)
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -122,9 +122,9 @@
         _, _, records = await start_store()
         await records.write_node(NODE)
         await records.write_refusal(REFUSAL)
-        assert await records.read_directory() == Directory([NODE], [REFUSAL], {}, {})
+        assert await records.read_directory() == Directory([NODE], [REFUSAL], {}, {}, {})
         await records.delete_refusal(REFUSAL.fingerprint)
-        assert await records.read_directory() == Directory([NODE], [], {}, {})
+        assert await records.read_directory() == Directory([NODE], [], {}, {}, {})
 
     run_virtual(main)
 
--- a/tests/test_wire/test_encodings.py
+++ b/tests/test_wire/test_encodings.py
@@ -120,6 +120,7 @@
     "frame/call-stream": (_frames.FrameKind.CALL_STREAM, _link_headers.CallHeader),
     "frame/call-credit": (_frames.FrameKind.CALL_CREDIT, None),
     "frame/call-end": (_frames.FrameKind.CALL_END, None),
+    "frame/withdrawn": (_frames.FrameKind.WITHDRAWN, _rollout_exchange._WithdrawnHeader),
     "frame/config": (_frames.FrameKind.CONFIG, None),
     "frame/config-pull": (_frames.FrameKind.CONFIG_PULL, tuple[int]),
     "frame/rollout": (_frames.FrameKind.ROLLOUT, _rollout_exchange._RolloutHeader),
