--- a/balsamhead/mesh/_server.py
+++ b/balsamhead/mesh/_server.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, cast
 
 from balsamhead.mesh._request_reader import Request
-from balsamhead.mesh._server_connection import Reply, ServerConnection, ServerContext
+from balsamhead.mesh._server_connection import ServerConnection
+from balsamhead.mesh._server_context import Reply, ServerContext
 from balsamhead.util.addresses import parse_address
 
 if TYPE_CHECKING:
@@ -52,7 +53,7 @@
     @property
     def connections(self) -> set[ServerConnection]:
         """Return the open connections."""
-        return self._context.connections
+        return cast("set[ServerConnection]", self._context.connections)
 
     async def start(self, address: str) -> None:
         """Listen on an IPv4 address and port, given as ``host:port``.
--- a/balsamhead/util/http1.py
+++ b/balsamhead/util/http1.py
@@ -35,7 +35,7 @@
 #: largest number of trailer lines in a message
 MAX_TRAILERS = 16
 #: largest number of header lines in a message
-_MAX_HEADER_LINES = 100
+_MAX_HEADER_LINES = 1000
 
 _TOKEN_PATTERN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _VALUE_PATTERN = rb"[^\x00-\x08\x0a-\x1f\x7f]*"
--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -278,6 +278,13 @@
             listeners[member.cfg.upstream_address] = upstream
         return member
 
+    async def restart_all(self, *, down_s: float = 0.8) -> None:
+        """Kill all nodes at once, and start them again beside the same upstreams."""
+        members = [self.kill(number) for number in list(self.members)]
+        await asyncio.sleep(down_s)
+        for member in members:
+            await self.add(member.cfg, upstream=member.upstream)
+
 
 async def start_cluster(
     *settings: MeshSettings, config: dict[str, Any] | None = None
--- a/tests/test_mesh/rollout_builders.py
+++ b/tests/test_mesh/rollout_builders.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 
+from balsamhead.mesh._server import Reply, Request
 from tests.test_mesh.builders import InMemoryCluster, Member, RequestSender, make_settings
 
 #: nodes in one data centre: two beside upstreams of the old version, one beside "registry"
@@ -36,3 +37,9 @@
 def get_status(fleet: InMemoryCluster) -> dict[str, Any]:
     row: dict[str, Any] = fleet.store.read_newest("keyed.status").get("rollout/desk", {})
     return row
+
+
+def answer_500(request: Request) -> Reply:
+    """Return a failure of the upstream."""
+    request_id = request.head.headers[b"request-id"][0]
+    return Reply(500, b"", b"Request-Id: %b\r\nServer-Stamp: s\r\n" % request_id)
--- a/tests/test_mesh/server_builders.py
+++ b/tests/test_mesh/server_builders.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from balsamhead.mesh._request_reader import Request
-from balsamhead.mesh._server_connection import Reply, ServerConnection, ServerContext
+from balsamhead.mesh._server_connection import ServerConnection
+from balsamhead.mesh._server_context import Reply, ServerContext
 from balsamhead.mesh.model import Limits
 
 LIMITS = Limits(header_bytes=500, body_bytes=1 << 20, header_timeout_s=3.0, idle_timeout_s=15.0)
--- a/tests/test_mesh/test_malformed_entries.py
+++ b/tests/test_mesh/test_malformed_entries.py
@@ -21,7 +21,7 @@
     run_virtual,
     start_cluster,
 )
-from tests.test_platform.test_messages import HEARTBEAT
+from tests.test_platform.builders import HEARTBEAT
 
 BAD_ADDRESSES = (
     "10.0.0.66:99999",
--- a/tests/test_mesh/test_pipelining_machine.py
+++ b/tests/test_mesh/test_pipelining_machine.py
@@ -9,7 +9,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from balsamhead.mesh._calls import BodyPipe
-from balsamhead.mesh._server_connection import _MAX_PIPELINED_REQUESTS, Reply
+from balsamhead.mesh._server_connection import _MAX_PIPELINED_REQUESTS
+from balsamhead.mesh._server_context import Reply
 from standin.virtual_network import VirtualLoop
 from tests.test_mesh.server_builders import PipelinedConnection, make_request
 
--- a/tests/test_util/test_http1.py
+++ b/tests/test_util/test_http1.py
@@ -108,3 +108,12 @@
     decoder = BodyDecoder(UNTIL_CLOSE)
     decoder.decode(bytearray(b"12345"))
     assert decoder.finish()
+
+
+# DENIED: a request with more than 100 header lines got 431, however short it was.
+def test_head_with_many_short_lines_is_parsed_up_to_a_bound() -> None:
+    start = b"GET /a HTTP/1.1\r\nHost: a\r\n"
+    head = parse_request_head(start + b"X: 1\r\n" * 500 + b"\r\n", excluded_headers=frozenset())
+    assert len(head.headers[b"x"]) == 500
+    with pytest.raises(FramingError):
+        parse_request_head(start + b"X: 1\r\n" * 1000 + b"\r\n", excluded_headers=frozenset())
