Count bodies until they are read, also once they have arrived whole

The bound of the bodies that a node holds for its callers left out what had arrived of a body whose end had come, so that 300 connections with 128 KiB each held 33.5 MB, where 16 MiB and one part more for each are allowed (the new test, before).

The network in memory let a sender write on whatever its peer read. It asks it to pause above 64 KiB now, as TCP does, so that the tests of bodies see back-pressure.

--- a/balsamhead/mesh/_request_reader.py
+++ b/balsamhead/mesh/_request_reader.py
@@ -33,6 +33,10 @@
     peer: str
     rest: BodyRest | None = None
 
+    def count_held_bytes(self) -> int:
+        """Return the number of bytes of the body that are held here."""
+        return len(self.body) + (0 if self.rest is None else self.rest.buffered_bytes)
+
     @property
     def body_bytes(self) -> int:
         """Return the length of the body, in bytes, as far as it is known."""
@@ -101,10 +105,8 @@
         return self._rest is not None and self._rest.buffered_bytes > _MAX_UNREAD_BYTES
 
     def count_held_bytes(self) -> int:
-        """Return the number of bytes of bodies that are held here."""
-        if self._rest is not None:
-            return self._rest.buffered_bytes
-        return self._body_bytes
+        """Return the number of bytes of a body that is held here, and in no request yet."""
+        return 0 if self._rest is not None else self._body_bytes
 
     def get_missing_bytes(self) -> int:
         """Return how many bytes of a body of known length have not arrived yet."""
--- a/balsamhead/mesh/_server_connection.py
+++ b/balsamhead/mesh/_server_connection.py
@@ -254,7 +254,8 @@
         return len(self._reader) > _MAX_PIPELINED_BYTES and not self._has_room()
 
     def _count_body_bytes(self) -> None:
-        held = self._exchange_body_bytes + self._reader.count_held_bytes()
+        held = self._reader.count_held_bytes()
+        held += sum(exchange.request.count_held_bytes() for exchange in self._exchanges)
         change, self._held_body_bytes = held - self._held_body_bytes, held
         if change:
             self._context.add_body_bytes(change)
--- a/standin/virtual_network.py
+++ b/standin/virtual_network.py
@@ -15,6 +15,8 @@
 
 #: network delay in each direction, in s
 _DELAY_S: Final = 0.0005
+#: bytes that one end hasn't read above which the other one is asked to pause writing
+_MAX_UNREAD_BYTES: Final = 64 << 10
 #: shortest time between two deliveries on a connection, which keeps them in order, in s
 _DELIVERY_GAP_S: Final = 1e-9
 
@@ -69,6 +71,8 @@
         self._is_connection_lost = False
         #: data received while reading is paused; None while reading
         self._unread: list[bytes] | None = None
+        #: the other end has been asked to pause writing
+        self._is_pressing_back = False
         self._last_arrival = 0.0
         self.local, self.peer = local, peer
         #: context of this end's host, in which its protocol is called
@@ -112,9 +116,20 @@
             return
         if self._unread is not None:
             self._unread.append(data)
+            self._press_back()
         else:
             self._protocol.data_received(data)
 
+    def _press_back(self) -> None:
+        """Ask the other end to pause writing while too much is unread, and to go on after it."""
+        is_full = self._unread is not None and sum(map(len, self._unread)) > _MAX_UNREAD_BYTES
+        other = self.other
+        if is_full == self._is_pressing_back or other is None or other._is_connection_lost:
+            return
+        self._is_pressing_back = is_full
+        change = other._protocol.pause_writing if is_full else other._protocol.resume_writing
+        self._loop.call_soon(change, context=other.context)
+
     def pause_reading(self) -> None:
         """Buffer received data until ``resume_reading``."""
         if self._unread is None:
@@ -123,6 +138,7 @@
     def resume_reading(self) -> None:
         """Pass the buffered data to the protocol and stop buffering."""
         chunks, self._unread = self._unread, None
+        self._press_back()
         for data in chunks or ():
             self._loop.call_soon(self.receive, data, context=self.context)
 
--- a/tests/test_mesh/test_request_bodies.py
+++ b/tests/test_mesh/test_request_bodies.py
@@ -9,7 +9,9 @@
 from balsamhead.errors import MalformedMessageError
 from balsamhead.mesh._body_transfer import HeldBodies, IncomingBodies
 from balsamhead.mesh._request_reader import KEPT_BYTES
+from balsamhead.mesh._server import HttpServer, Reply, Request
 from tests.test_mesh.body_builders import (
+    PART_BYTES,
     BodyClient,
     count_held_bytes,
     exchange,
@@ -17,6 +19,7 @@
     make_body,
 )
 from tests.test_mesh.builders import (
+    LIMITS,
     NODE_1,
     NODE_2,
     NODE_3,
@@ -285,6 +288,30 @@
     run_virtual(main)
 
 
+# A body that had arrived whole, and that its upstream hadn't read yet, was in no bound.
+def test_bodies_that_have_arrived_are_held_within_the_bound() -> None:
+    async def main() -> None:
+        server = HttpServer(wait, get_limits=lambda: LIMITS, streams_bodies=True)
+        await server.start(NODE_1.caller_address)
+        clients = [BodyClient(BODY[: KEPT_BYTES * 2]) for _ in range(300)]
+        for client in clients:
+            await client.open()
+            await client.send()
+        requests = [row.request for conn in server.connections for row in conn._exchanges]
+        rests = [request.rest for request in requests if request.rest is not None]
+        held = sum(len(request.body) for request in requests)
+        held += sum(len(chunk) for rest in rests for chunk in rest._chunks)
+        # each connection that goes on may receive one part more
+        assert 15 << 20 < held <= (16 << 20) + 300 * PART_BYTES
+
+    async def wait(request: Request) -> Reply:
+        del request
+        await asyncio.sleep(3600.0)
+        return Reply(200)
+
+    run_virtual(main)
+
+
 def test_held_bodies_have_one_bound() -> None:
     bodies = HeldBodies()
     assert bodies.try_add(10 << 20)
