Let the state machine of departures ask what peers send, not what they know

The peers know the later start, which hasn't left, so their notice doesn't say that the upstream leaves; they send it nothing all the same, since its node says that it takes nothing. The check asked for the notice; it asks that peers send nothing now, which is what its name says.

--- a/tests/test_mesh/test_departure_machine.py
+++ b/tests/test_mesh/test_departure_machine.py
@@ -154,7 +154,9 @@
         if record is None or (record.id, record.started_at_ms) not in self.acknowledged:
             return
         for peer in self.peers:
-            assert peer.upstream is None or peer.is_upstream_leaving()
+            # a peer may know a later start under the same id, which hasn't left
+            gets_none = peer.upstream is None or not peer.upstream.accepts_requests
+            assert gets_none or peer.is_upstream_leaving()
         assert not self.linked or not self.upstream.accepts_requests()
 
     @invariant()
@@ -196,3 +198,20 @@
     machine.announce(UpstreamState.READY)
     machine.upstream_that_has_left_gets_no_requests()
     machine.teardown()
+
+
+# Found by 3,000 drawn runs: a late heartbeat of the start before the one that the peers know.
+def test_late_announcement_of_an_earlier_start_gets_no_requests_after_a_restart() -> None:
+    machine = DeparturesAcrossRestarts()
+    machine.announce(UpstreamState.READY)
+    machine.leave()
+    late = machine.sent[0]
+    machine.start_again()
+    machine.announce(UpstreamState.READY)
+    machine.restart_node()
+    machine.apply(late)
+    machine.link()
+    machine.upstream_that_has_left_gets_no_requests()
+    machine.announce(UpstreamState.READY)
+    assert machine.upstream.accepts_requests()
+    machine.teardown()
