--- a/tests/test_mesh/test_announcements.py
+++ b/tests/test_mesh/test_announcements.py
@@ -120,3 +120,28 @@
         assert (await send_request(NODE_1)).status == 200
 
     run_virtual(main)
+
+
+# DRAIN: "draining" was acknowledged and not kept, if another id had been announced since.
+def test_draining_is_remembered_also_if_another_id_looks_newer() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_cluster(NODE_1, NODE_2, NODE_3)
+        upstream = cluster.members[1].upstream
+        own_id = upstream.id
+        assert upstream._announcing is not None
+        upstream._announcing.cancel()
+        upstream.id = "i-odd"
+        assert (await upstream.announce(born=9000)).status == 200
+        upstream.id = own_id
+        upstream.sequence += 5
+        assert (await upstream.announce(state="draining")).status == 200
+        await asyncio.sleep(3.5)
+        # a heartbeat that was sent before that comes late
+        upstream.sequence -= 3
+        await upstream.announce()
+        before = len(upstream.requests)
+        for _ in range(10):
+            assert (await send_request(NODE_3)).status == 200
+        assert len(upstream.requests) == before
+
+    run_virtual(main)
