Decode regions, cold starts, evacuations, client accounts and uploads; one odd row costs that row

Cause: one value that a node doesn't know, the route kind of uploads, made it reject the whole configuration. Every node answered 503 config-unknown to all requests.

Change: rows of a configuration are decoded one by one. An unknown kind runs at most once. A route that can't be read keeps its place and is refused, so that no other route takes its requests over; an account that can't be read is left out with its keys. Calls, routes and deltas between nodes get fields for what the configuration asks for; fields with default values are not sent, so messages of other deployments keep their bytes. Keys are kept as digests only.

--- a/balsamhead/mesh/_calls.py
+++ b/balsamhead/mesh/_calls.py
@@ -49,6 +49,10 @@
     #: the service also gets requests of lower priority; this request may then wait for a slot
     #: beyond its latency objective
     urgent: bool = False
+    #: name of the client account; empty if the request needs no key
+    account: str = ""
+    #: an upstream makes the call while it runs another request
+    nested: bool = False
 
 
 class ResponseNotices(NamedTuple):
--- a/balsamhead/mesh/_link.py
+++ b/balsamhead/mesh/_link.py
@@ -28,7 +28,13 @@
     grant_on_read,
 )
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header, encode_frame, extract_frames
-from balsamhead.mesh._link_headers import CallHeader, CodeHeader, RefusedHeader, ResponseHeader
+from balsamhead.mesh._link_headers import (
+    CallHeader,
+    CodeHeader,
+    RefusedHeader,
+    ResponseHeader,
+    make_call_header,
+)
 from balsamhead.util.sockets import reset_on_close, set_option
 
 if TYPE_CHECKING:
@@ -246,7 +252,7 @@
         if rest is None:
             self._send_whole(stream_id, call, body)
         else:
-            self.send(FrameKind.CALL_STREAM, stream_id, CallHeader(call, rest.length), body)
+            self.send(FrameKind.CALL_STREAM, stream_id, make_call_header(call, rest.length), body)
             self._start_body(stream_id, pending, rest)
         try:
             return await pending.future
@@ -255,7 +261,7 @@
             raise
 
     def _send_whole(self, stream_id: int, call: Call, body: bytes) -> None:
-        header = CallHeader(call, len(body))
+        header = make_call_header(call, len(body))
         size = _REQUEST_CHUNK_BYTES
         self.send(FrameKind.CALL, stream_id, header, body[:size])
         for start in range(size, len(body), size):
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -9,6 +9,8 @@
 
 __all__ = (
     "MAX_INTEGER",
+    "Account",
+    "ColdStart",
     "Config",
     "Crash",
     "CrashReport",
@@ -42,7 +44,7 @@
 
     #: idempotent; may be retried
     SAFE = "safe"
-    #: not idempotent; runs at most once
+    #: not idempotent, or of an unknown kind; runs at most once
     ONCE = "once"
     #: idempotent, with large responses; may be retried
     BULK = "bulk"
@@ -72,6 +74,39 @@
     #: number of upstreams that one request may reach
     max_attempts: int
     parts: tuple[WeightedService, ...]
+    #: regions in which its requests may be served; empty for all
+    allowed_regions: tuple[str, ...] = ()
+    #: its requests need no key of a client account
+    public: bool = False
+    #: False if the operator's record of the route could not be read; its requests are refused
+    served: bool = True
+    #: its requests have large bodies
+    large_requests: bool = False
+
+
+class Account(NamedTuple):
+    """Client account, whose callers identify themselves by a key."""
+
+    name: str
+    #: priority of its requests, which precedes that of the route; 0 is the highest
+    priority: int
+    #: requests per s that all nodes together accept; 0 for no limit
+    rate_per_s: float
+    #: requests that are accepted at once beyond that rate
+    burst: float
+    #: digests of its keys; the keys themselves are not kept
+    key_digests: tuple[bytes, ...]
+    #: regions in which its requests may be served; empty for all
+    allowed_regions: tuple[str, ...] = ()
+
+
+class ColdStart(NamedTuple):
+    """What the upstreams of a service can take while they are cold."""
+
+    #: how long an upstream is cold after its start, in s
+    duration_s: float
+    #: requests per s that a cold upstream tolerates, from all nodes together
+    rate_per_s: float
 
 
 class Limits(NamedTuple):
@@ -92,6 +127,12 @@
     limits: Limits
     services: tuple[str, ...]
     routes: dict[str, Route]
+    #: client accounts by name; None if requests need no key
+    accounts: dict[str, Account] | None = None
+    #: services whose upstreams have a cold phase
+    cold_starts: dict[str, ColdStart] | None = None
+    #: parts of the operator's record that could not be read, each with the reason
+    unreadable: tuple[str, ...] = ()
 
 
 class Order(NamedTuple):
@@ -111,6 +152,8 @@
     offset: int
     config: Config | None
     orders: dict[str, Order]
+    #: data centres whose upstreams are to get no requests, in alphabetical order
+    evacuated: tuple[str, ...] = ()
 
 
 class UpstreamState(StrEnum):
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -47,6 +47,8 @@
 _MAX_FULL_NODES: Final = 4
 #: Retry-After of a refusal when no better estimate is known, in s
 _DEFAULT_RETRY_AFTER_S: Final = 0.1
+#: Retry-After for a route that can't be read, in s; only a later configuration serves it
+_UNREADABLE_RETRY_AFTER_S: Final = 1.0
 #: how long a peer that could not reach its upstream is sent no calls, in s
 _PEER_BACKOFF_S: Final = 0.3
 #: codes of refusals after which no other upstream is tried
@@ -150,6 +152,8 @@
             self._metrics.count("requests_unrouted")
             return Reply(404)
         trace.route = route.name
+        if not route.served:
+            return self._refuse(trace, "route-unreadable", _UNREADABLE_RETRY_AFTER_S)
         refusal_s = self._crash_view.get_refusal_time(request, self._loop.time())
         if refusal_s:
             return self._refuse(trace, CRASHING_REQUEST, refusal_s)
--- a/balsamhead/mesh/_settings.py
+++ b/balsamhead/mesh/_settings.py
@@ -52,6 +52,9 @@
     retry_slack: float
     retry_window: float
     log_level: str
+    #: 0 if knowledge of keys doesn't expire
+    key_lease: float = 0.0
+    load_balancing: str = "auto"
 
 
 def _text(key: str, text: str, default: str | None = None) -> Field:
@@ -102,6 +105,19 @@
         allowed=("debug", "info", "warning", "error"),
         help="lowest level of the lines that are written",
     ),
+    _duration(
+        "key_lease",
+        "0ms",
+        "age of a configuration from which on requests with keys are refused; 0ms for none",
+    ),
+    Field(
+        "load_balancing",
+        Kind.TEXT,
+        "auto",
+        allowed=("auto", "least-wait", "even"),
+        help="how upstreams are selected; auto: even where the configuration has client accounts, "
+        "routes of some regions or uploads, else least-wait",
+    ),
 )
 
 
--- a/balsamhead/mesh/model.py
+++ b/balsamhead/mesh/model.py
@@ -4,6 +4,8 @@
 
 from balsamhead.mesh._model import (
     MAX_INTEGER,
+    Account,
+    ColdStart,
     Config,
     Crash,
     CrashReport,
@@ -29,6 +31,8 @@
 
 __all__ = (
     "MAX_INTEGER",
+    "Account",
+    "ColdStart",
     "Config",
     "Crash",
     "CrashReport",
--- a/balsamhead/platform/messages.py
+++ b/balsamhead/platform/messages.py
@@ -10,22 +10,19 @@
 from balsamhead.errors import MalformedMessageError
 from balsamhead.mesh.model import (
     MAX_INTEGER,
-    Config,
-    Limits,
     Order,
     Phase,
     Rollout,
-    Route,
-    RouteKind,
     UpstreamRecord,
     UpstreamState,
-    WeightedService,
 )
+from balsamhead.platform.configuration import decode_config
 from balsamhead.util.addresses import parse_address
 from balsamhead.util.times import parse_duration
 
 __all__ = (
     "CONFIG_KEY",
+    "EVACUATION_KEY_PREFIX",
     "ROLLOUT_KEY_PREFIX",
     "decode_config",
     "decode_heartbeat",
@@ -41,14 +38,11 @@
 CONFIG_KEY: Final = "config"
 #: prefix of the key of a rollout; the name of the service follows
 ROLLOUT_KEY_PREFIX: Final = "rollout/"
+#: prefix of the key of an evacuation; the name of the data centre follows
+EVACUATION_KEY_PREFIX: Final = "evacuate/"
 
 #: parent path of the resources to which upstreams send their heartbeats
 _ANNOUNCEMENT_PATH: Final = "/instances"
-_ROUTE_KINDS: Final = {
-    "safe": RouteKind.SAFE,
-    "unsafe": RouteKind.ONCE,
-    "download": RouteKind.BULK,
-}
 _PHASE_NAMES: Final = {
     Phase.RUNNING: "running",
     Phase.COMPLETED: "completed",
@@ -62,37 +56,6 @@
 _UPSTREAM_ID: Final = re.compile(r"[!-~]{1,128}")
 
 
-class _Backend(msgspec.Struct):
-    service: _Name
-    weight: Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
-
-
-class _Route(msgspec.Struct):
-    host: str
-    path_prefix: str
-    kind: str
-    timeout: str
-    target_latency: str = ""
-    priority: _Integer = 0
-    service: str = ""
-    backends: list[_Backend] = []
-    max_attempts: _Integer = 1
-
-
-class _Limits(msgspec.Struct):
-    max_header_bytes: _Integer
-    max_body_bytes: _Integer
-    header_timeout: str
-    idle_timeout: str
-
-
-class _Config(msgspec.Struct):
-    version: _Integer
-    routes: dict[str, _Route]
-    services: dict[str, dict[str, object]]
-    limits: _Limits
-
-
 class _Order(msgspec.Struct):
     service: _Name
     target_version: _Name
@@ -118,27 +81,6 @@
     born: _Integer
 
 
-def decode_config(data: bytes) -> Config:
-    """Decode a configuration and check that its routes refer to services that it defines.
-
-    :raises MalformedMessageError: the data can't be decoded, or a route refers to no service or to
-        an unknown one.
-    """
-    try:
-        raw = msgspec.json.decode(data, type=_Config)
-        routes = {name: _convert_route(name, row) for name, row in raw.routes.items()}
-        limits = _convert_limits(raw.limits)
-    except (msgspec.DecodeError, ValueError, KeyError, RecursionError) as exc:
-        raise _make_malformed_error("decode-config", exc) from exc
-    for route in routes.values():
-        missing = [part.service for part in route.parts if part.service not in raw.services]
-        if missing or not route.parts:
-            raise _make_malformed_error(
-                "decode-config", f"route {route.name} has no services, or unknown ones: {missing}"
-            )
-    return Config(raw.version, limits, tuple(sorted(raw.services)), routes)
-
-
 def decode_order(data: bytes, *, offset: int) -> Order:
     """Decode an operator's order to start a rollout.
 
@@ -215,34 +157,5 @@
     return Rollout(service, raw.target_version, raw.order, phase, 0, 0.0)
 
 
-def _convert_route(name: str, raw: _Route) -> Route:
-    if not (raw.path_prefix.startswith("/") and raw.path_prefix.endswith("/")):
-        raise ValueError(f"prefix {raw.path_prefix[:80]!r} doesn't begin and end with a slash")
-    services = [WeightedService(row.service, row.weight) for row in raw.backends]
-    if raw.service:
-        services = [WeightedService(raw.service, 1.0)]
-    timeout_s = parse_duration(raw.timeout)
-    return Route(
-        name=name,
-        host=raw.host.lower(),
-        prefix=raw.path_prefix,
-        kind=_ROUTE_KINDS[raw.kind],
-        timeout_s=timeout_s,
-        objective_s=parse_duration(raw.target_latency) if raw.target_latency else timeout_s,
-        priority=raw.priority,
-        max_attempts=max(1, raw.max_attempts),
-        parts=tuple(services),
-    )
-
-
-def _convert_limits(raw: _Limits) -> Limits:
-    return Limits(
-        header_bytes=raw.max_header_bytes,
-        body_bytes=raw.max_body_bytes,
-        header_timeout_s=parse_duration(raw.header_timeout),
-        idle_timeout_s=parse_duration(raw.idle_timeout),
-    )
-
-
 def _make_malformed_error(step: str, cause: object) -> MalformedMessageError:
     return MalformedMessageError(f"message can't be decoded: {cause}", step=step)
--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -14,6 +14,7 @@
 from balsamhead.errors import LogExpiredError, MalformedMessageError
 from balsamhead.mesh.model import (
     MAX_INTEGER,
+    Config,
     CrashReport,
     Departure,
     Directory,
@@ -27,6 +28,7 @@
 )
 from balsamhead.platform.messages import (
     CONFIG_KEY,
+    EVACUATION_KEY_PREFIX,
     ROLLOUT_KEY_PREFIX,
     decode_config,
     decode_order,
@@ -61,6 +63,8 @@
 #: largest record in the topic of the nodes that is decoded, in bytes; decoding a large one takes
 #: long
 _MAX_NODE_BYTES: Final = 4096
+#: rows of one configuration that can't be read and get a log line each
+_MAX_LOGGED_ROWS: Final = 20
 
 
 class PlatformRecords:
@@ -125,7 +129,8 @@
                     "previous_offset": get_offset(known.offset),
                 },
             )
-        return _apply_records(known, newest.records, position)
+        # A record that was removed isn't listed, so the evacuations listed are all there are.
+        return _apply_records(known._replace(evacuated=()), newest.records, position)
 
     async def write_node(self, record: NodeRecord) -> None:
         """Write a node's record.
@@ -256,9 +261,13 @@
     :param position: position after the last record.
     """
     base = position - get_offset(position)
-    config, orders = known.config, dict(known.orders)
+    config, orders, evacuated = known.config, dict(known.orders), set(known.evacuated)
     newest = None
     for record in sorted(records, key=lambda record: record.offset):
+        if record.key.startswith(EVACUATION_KEY_PREFIX):
+            data_centre = record.key.removeprefix(EVACUATION_KEY_PREFIX)
+            (evacuated.add if record.value else evacuated.discard)(data_centre)
+            continue
         if not record.value:
             continue
         try:
@@ -274,7 +283,18 @@
             )
     if newest is not None and (config is None or newest.version >= config.version):
         config = newest
-    return OperatorState(position, config, orders)
+        _log_unreadable(config)
+    return OperatorState(position, config, orders, tuple(sorted(evacuated)))
+
+
+def _log_unreadable(config: Config) -> None:
+    for reason in config.unreadable[:_MAX_LOGGED_ROWS]:
+        logger.warning("config-row-unreadable", extra={"version": config.version, "reason": reason})
+    if len(config.unreadable) > _MAX_LOGGED_ROWS:
+        logger.warning(
+            "config-rows-unreadable",
+            extra={"version": config.version, "rows": len(config.unreadable)},
+        )
 
 
 def _add_to_directory(directory: Directory, record: KeyedRecord) -> None:
--- a/balsamhead/util/codec.py
+++ b/balsamhead/util/codec.py
@@ -10,7 +10,7 @@
 
 from balsamhead.errors import MalformedMessageError
 
-__all__ = ("compute_digest", "decode", "encode")
+__all__ = ("compute_digest", "decode", "drop_trailing_defaults", "encode")
 
 T = TypeVar("T")
 
@@ -37,6 +37,19 @@
         ) from exc
 
 
+def drop_trailing_defaults(row: Any, *, keep: int) -> list[Any]:
+    """Return the fields of a named tuple without the last ones that hold their default.
+
+    What is left out takes no bytes, and is unknown to nodes of earlier releases.
+
+    :param keep: number of fields that are kept in any case.
+    """
+    fields, defaults = list(row), row._field_defaults
+    while len(fields) > keep and fields[-1] == defaults.get(row._fields[len(fields) - 1], ...):
+        fields.pop()
+    return fields
+
+
 def compute_digest(data: bytes) -> bytes:
     """Return the 16-byte XXH3 digest by which peers compare contents; not cryptographic."""
     return bytes(xxhash.xxh3_128_digest(data))
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -79,6 +79,7 @@
 WIRE_WORDS = re.compile(
     r"beat_addr|target_latency|Target-Instance|Not-Executed|Server-Stamp|(?<!X-)Deadline-Ms"
     r"|Caller-Service|Server-Limit|Server-Leaving|/log-append|/log-newest|/log-read|keyed\.|path_prefix|cold_left|/instances"
+    r"|allowed_regions\"|cold_per_s|cold_start\"|Cold-Remaining-Ms|api_keys|\btenant|\bTenant|evacuate/"
 )
 
 
@@ -111,6 +112,28 @@
                 assert target in allowed or target == "model", (name, target)
 
 
+#: modules of the mesh that its sub-packages with decisions may import
+DECISION_IMPORTS = ("balsamhead.mesh.model", "balsamhead.errors", "balsamhead.util")
+#: modules of the standard library that do input or output
+IO_MODULES = ("asyncio", "socket", "selectors", "threading")
+
+
+def list_decision_packages() -> list[Path]:
+    folders = (PACKAGE / "mesh").iterdir()
+    return sorted(path for path in folders if (path / "__init__.py").exists())
+
+
+# Decisions that know the node or its sockets can't run in a test without a network.
+def test_decision_packages_import_neither_the_node_nor_input_and_output() -> None:
+    for folder in list_decision_packages():
+        own = f"balsamhead.mesh.{folder.name}"
+        for path in folder.glob("*.py"):
+            for module in find_imports(path):
+                assert module.partition(".")[0] not in IO_MODULES, (path, module)
+                if module.startswith("balsamhead."):
+                    assert module.startswith((own, *DECISION_IMPORTS)), (path, module)
+
+
 def test_adapter_imports_only_errors_utilities_and_the_mesh_model() -> None:
     for path in list_modules("platform"):
         for module in find_imports(path):
--- a/tests/test_mesh/test_configuration.py
+++ b/tests/test_mesh/test_configuration.py
@@ -250,3 +250,16 @@
         assert node._cfg.caller_address == NODE_1.caller_address
 
     run_virtual(main)
+
+
+# A row that can't be read must neither take others down nor hand its requests to another route.
+def test_requests_of_an_unreadable_route_are_refused_and_no_others() -> None:
+    async def main() -> None:
+        odd = make_route(path_prefix="/check/odd/", timeout="soon")
+        _, send_request = await start_cluster(NODE_1, config=make_config(1, odd=odd))
+        refused = await send_request(NODE_1, "/check/odd/1")
+        assert refused.status == 503
+        assert refused.headers[b"retry-after"]
+        assert (await send_request(NODE_1, "/check/1")).status == 200
+
+    run_virtual(main)
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -95,6 +95,38 @@
     run_virtual(main)
 
 
+def test_evacuations_are_read_until_they_are_lifted() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        store.put("keyed.op", "config", make_config(1))
+        store.put("keyed.op", "evacuate/east-b", {})
+        state = await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)
+        assert state.evacuated == ("east-b",)
+        store.put("keyed.op", "evacuate/east-a", {})
+        state = await records.read_operator_state(state, wait_s=1.0)
+        assert state.evacuated == ("east-a", "east-b")
+        store.put("keyed.op", "evacuate/east-b", b"")
+        state = await records.read_operator_state(state, wait_s=1.0)
+        assert state.evacuated == ("east-a",)
+
+    run_virtual(main)
+
+
+# The newest records don't list one that was removed: the evacuation would never have ended.
+def test_evacuation_that_was_lifted_while_the_history_was_dropped_has_ended() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        store.put("keyed.op", "config", make_config(1))
+        store.put("keyed.op", "evacuate/east-b", {})
+        state = await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)
+        store.put("keyed.op", "evacuate/east-b", b"")
+        store.compact("keyed.op")
+        state = await records.read_operator_state(state, wait_s=1.0)
+        assert state.evacuated == ()
+
+    run_virtual(main)
+
+
 def test_order_has_the_offset_of_its_record() -> None:
     async def main() -> None:
         store, _, records = await start_store()
