Send a cold upstream no more requests than it tolerates

Cause: an upstream that has just started got as many requests as it has slots, and is likely to fail above 1.5 times the configured rate and 8 in a second.

Change: the upstream's node admits requests by a token bucket at the configured rate while the upstream is cold by its heartbeat, or assumed to be cold until the next one: after the node's start, a failed connection, signs of a crash, a pause of the process, an evacuation and missing heartbeats. Requests of the last second count also if they were sent before. Callers take the configured rate into account for peers in slow start.

Services without a cold start are not limited.

--- a/balsamhead/mesh/_crash_guard.py
+++ b/balsamhead/mesh/_crash_guard.py
@@ -44,13 +44,16 @@
         *,
         connections: ConnectionPool,
         get_record: Callable[[], UpstreamRecord | None],
+        on_crash: Callable[[], None] = lambda: None,
     ) -> None:
         """Create the guard of an upstream.
 
         :param get_record: returns the last announcement of the upstream.
+        :param on_crash: called when the upstream has crashed.
         """
         self._registry = registry
         self._get_record = get_record
+        self._on_crash = on_crash
         self._loop = asyncio.get_running_loop()
         self.detector = CrashDetector(
             has_open_connections=connections.has_open_connections,
@@ -97,6 +100,7 @@
             self._registry.record_completion(request.fingerprint, request.call.caller_service)
 
     def _record_crash(self, requests: list[RunningRequest]) -> None:
+        self._on_crash()
         record = self._get_record()
         if record is None or record.state is UpstreamState.DRAINING:
             return
--- a/balsamhead/mesh/_daemon.py
+++ b/balsamhead/mesh/_daemon.py
@@ -16,6 +16,7 @@
 from balsamhead.platform.store import StoreClient
 from balsamhead.util.logs import configure_bounded_logging
 from balsamhead.util.loop import make_event_loop
+from balsamhead.util.pauses import get_boot_time
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,7 +44,7 @@
 
 async def _run(cfg: MeshSettings, path: str) -> None:
     store = StoreClient(cfg.store_address)
-    node = MeshNode(cfg, records=PlatformRecords(store), store=store)
+    node = MeshNode(cfg, records=PlatformRecords(store), store=store, get_boot_time=get_boot_time)
     loop = asyncio.get_running_loop()
 
     def reload() -> None:
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -40,7 +40,7 @@
 from balsamhead.util.positions import get_era, get_offset
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Coroutine
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from balsamhead.mesh._calls import BodyRest, Call, Outcome
     from balsamhead.mesh._link import Link
@@ -91,7 +91,13 @@
         records: PlatformRecords,
         store: StoreClient,
         rng: random.Random | None = None,
+        get_boot_time: Callable[[], float] | None = None,
     ) -> None:
+        """Assemble the components.
+
+        :param get_boot_time: returns the time since the machine's start, in s; None for the event
+            loop's clock.
+        """
         self._cfg = cfg
         self._records = records
         self._store = store
@@ -117,6 +123,7 @@
             on_result=lambda result: self._rollouts.add_result(result),
             metrics=self._metrics,
             crash_registry=self._crash_registry,
+            get_boot_time=get_boot_time,
         )
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
         self._crash_exchange = CrashExchange(self._crash_registry, link_manager=self._link_manager)
@@ -133,17 +140,17 @@
             window_s=cfg.retry_window,
             count_nodes=lambda: len(self._link_manager.table.peers) + 1,
         )
-        upstream_index = UpstreamIndex(
+        self._upstream_index = UpstreamIndex(
             cfg, link_manager=self._link_manager, local=self._local_upstream, rng=rng
         )
-        self._local_upstream.crash_guard.is_trial_node = upstream_index.is_trial_node
+        self._local_upstream.crash_guard.is_trial_node = self._upstream_index.is_trial_node
         self._caller_side = RequestRouter(
             cfg,
             link_manager=self._link_manager,
             local=self._local_upstream,
             budget=self._budget,
             traffic_split=self._traffic_split,
-            upstream_index=upstream_index,
+            upstream_index=self._upstream_index,
             crash_registry=self._crash_registry,
             metrics=self._metrics,
             rng=rng,
@@ -302,6 +309,9 @@
     def _apply_state(self, state: OperatorState) -> None:
         if state.config is not None:
             self._caller_side.set_config(state.config)
+            cold_starts = state.config.cold_starts or {}
+            self._local_upstream.set_cold_start(cold_starts.get(self._cfg.service))
+            self._upstream_index.set_cold_starts(cold_starts)
         if -1 < self._registered_era < get_era(state.offset):
             self._registered_era = -1
             self._spawn(self._register_again())
@@ -313,6 +323,7 @@
         # schedule the next run first, so that an exception here does not end the series
         self._timers[:] = [self._loop.call_later(_TICK_INTERVAL_S, self._tick)]
         self._sync.pull_if_behind()
+        self._local_upstream.update_cold_state()
         if self._describe_upstream() != self._announced_upstream:
             self._upstream_changed()
         self._rollouts.report_evidence()
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -54,7 +54,9 @@
 #: codes of refusals after which no other upstream is tried
 _FINAL_CODES: Final = (CRASHING_REQUEST, TRIAL_RUNNING)
 #: codes of refusals by an upstream that has no room at once, but may have some soon
-_FULL_CODES: Final = ("upstream-full", "upstream-limited")
+#: codes of refusals by a rate limit, after which the next request is sent later
+_RATE_CODES: Final = ("upstream-limited", "upstream-cold")
+_FULL_CODES: Final = ("upstream-full", "upstream-limited", "upstream-cold")
 #: statuses of requests that may have run, by code
 _STATUS_BY_CODE: Final = {
     "deadline-passed": 504,
@@ -359,7 +361,7 @@
             outcome = await peer.link.call(call, request.body, request.rest)
         finally:
             peer.in_flight[priority] -= 1
-        if isinstance(outcome, Refused) and outcome.code == "upstream-limited":
+        if isinstance(outcome, Refused) and outcome.code in _RATE_CODES:
             peer.limited_until = self._loop.time() + outcome.retry_after_s
         if isinstance(outcome, Refused) and outcome.code in (
             "upstream-unreachable",
--- a/balsamhead/mesh/_selection.py
+++ b/balsamhead/mesh/_selection.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterable
 
 __all__ = (
+    "DEFAULT_SERVICE_MS",
     "Candidate",
     "Locality",
     "estimate_concurrency",
@@ -42,7 +43,7 @@
 #: same load don't all select the same upstream
 _JITTER: Final = 0.15
 #: time of a request that is assumed when no upstream has a measured one, in ms
-_DEFAULT_SERVICE_MS: Final = 60.0
+DEFAULT_SERVICE_MS: Final = 60.0
 #: factor on the time of a request at an upstream in slow start
 _SLOW_START_FACTOR: Final = 1.5
 
@@ -165,7 +166,7 @@
     known_ms = [candidate.service_ms for candidate in eligible if candidate.service_ms]
     if len(known_ms) == len(eligible):
         return eligible
-    assumed_ms = min(known_ms, default=_DEFAULT_SERVICE_MS)
+    assumed_ms = min(known_ms, default=DEFAULT_SERVICE_MS)
     return [
         candidate if candidate.service_ms else candidate._replace(service_ms=assumed_ms)
         for candidate in eligible
--- a/balsamhead/mesh/_slot_queue.py
+++ b/balsamhead/mesh/_slot_queue.py
@@ -16,6 +16,7 @@
 
     from balsamhead.mesh._metrics import MeshMetrics
     from balsamhead.mesh._slot_usage import SlotUsageSummary
+    from balsamhead.mesh.warmup import ColdAdmission
 
 __all__ = ("SlotHold", "SlotQueue")
 
@@ -50,10 +51,13 @@
 class SlotQueue:
     """Count the slots in use, and start queued requests as slots are released."""
 
-    def __init__(self, *, count_slots: Callable[[], int], metrics: MeshMetrics) -> None:
+    def __init__(
+        self, *, count_slots: Callable[[], int], metrics: MeshMetrics, cold: ColdAdmission
+    ) -> None:
         """Create an empty queue.
 
         :param count_slots: returns the number of slots; 0 while no request may start.
+        :param cold: admits requests while the upstream is cold.
         """
         self._count_slots = count_slots
         self._metrics = metrics
@@ -63,6 +67,7 @@
         #: when a slot was last known to be free, in s of the loop's clock
         self._last_free_at = self._loop.time()
         self._limit = RateLimit()
+        self._cold = cold
         self._limit_timer: asyncio.TimerHandle | None = None
         self._usage = SlotUsage(self._loop.time())
         #: number of slots in use
@@ -82,11 +87,24 @@
         self.start_queued()
 
     def get_limit_delay(self, *, ahead: int = 0) -> float:
-        """Return the time until the rate limit admits a request, in s.
+        """Return the time until the rate limits admit a request, in s.
 
         :param ahead: number of requests that go before it.
         """
-        return self._limit.get_delay(self._loop.time(), ahead=ahead)
+        now = self._loop.time()
+        return max(self._limit.get_delay(now, ahead=ahead), self.get_cold_delay(ahead=ahead))
+
+    def get_cold_delay(self, *, ahead: int = 0) -> float:
+        """Return the time until a cold upstream admits a request, in s; 0 for one that is warm.
+
+        :param ahead: number of requests that go before it.
+        """
+        return self._cold.get_delay(self._loop.time(), ahead=ahead)
+
+    def is_held_by_cold(self) -> bool:
+        """Return whether the next request waits for a cold upstream, longer than for the limit."""
+        cold_delay_s = self.get_cold_delay()
+        return cold_delay_s > self._limit.get_delay(self._loop.time())
 
     def count_by_priority(self) -> Counter[int]:
         """Return the number of queued requests by priority."""
@@ -111,7 +129,7 @@
 
     def acquire(self) -> None:
         """Use a free slot at once."""
-        self._limit.try_acquire(self._loop.time())
+        self._try_acquire_rate(self._loop.time())
         self._set_running(self.running + 1)
         self._record_wait(0.0, granted=True)
 
@@ -144,7 +162,7 @@
             if self._queue[0].future.done():
                 heapq.heappop(self._queue)
                 continue
-            if not self._limit.try_acquire(now):
+            if not self._try_acquire_rate(now):
                 self._schedule_start()
                 return
             self._set_running(self.running + 1)
@@ -152,6 +170,12 @@
         if self.running < slots and self.get_limit_delay() <= 0.0:
             self._last_free_at = now
 
+    def _try_acquire_rate(self, now: float) -> bool:
+        """Use the allowance of both rate limits for a request, or of neither."""
+        return self._cold.get_delay(now) <= 0.0 and (
+            self._limit.try_acquire(now) and self._cold.try_acquire(now)
+        )
+
     def _schedule_start(self) -> None:
         if self._limit_timer is None:
             delay_s = max(self.get_limit_delay(), _MIN_TIMER_S)
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -26,6 +26,8 @@
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
 from balsamhead.mesh._upstream_statistics import UpstreamStatistics
 from balsamhead.mesh.model import Load, RouteKind, UpstreamNotice, UpstreamRecord, UpstreamState
+from balsamhead.mesh.warmup import ColdAdmission, ColdReason, LossSigns
+from balsamhead.util.pauses import PauseDetector
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -33,7 +35,7 @@
     from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._metrics import MeshMetrics
     from balsamhead.mesh._upstream_connection import UpstreamConnection
-    from balsamhead.mesh.model import Departure
+    from balsamhead.mesh.model import ColdStart, Departure
 
 __all__ = ("CallResult", "LocalUpstream")
 
@@ -48,6 +50,11 @@
 _SILENT_ANNOUNCEMENTS: Final = 2
 #: time after the deadline of a call at which its streamed response is cut, in s
 _STREAM_GRACE_S: Final = 0.5
+#: codes of the loss of a connection before and after the first byte of the response
+_UNHEARD_LOSS: Final = "connection-lost-unheard"
+_LOSS_CODES: Final = (_UNHEARD_LOSS, "connection-lost")
+#: longest time between two checks for a pause of the process, in s
+_PAUSE_CHECK_INTERVAL_S: Final = 0.3
 #: upper bound of a refusal's Retry-After, in s
 _MAX_RETRY_AFTER_S: Final = 0.3
 #: lower bound of a refusal's Retry-After, in s
@@ -81,7 +88,13 @@
         on_result: Callable[[CallResult], None],
         metrics: MeshMetrics,
         crash_registry: CrashRegistry,
+        get_boot_time: Callable[[], float] | None = None,
     ) -> None:
+        """Create an upstream without an announcement.
+
+        :param get_boot_time: returns the time since the machine's start, in s, with the time that
+            it was suspended; None for the event loop's clock.
+        """
         self._connections = ConnectionPool(address)
         self._service = service
         self._announcement_timeout_s = announce_interval_s * _MISSED_ANNOUNCEMENTS + 0.5
@@ -89,7 +102,17 @@
         self._on_result = on_result
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
-        self._slots = SlotQueue(count_slots=self._count_slots, metrics=metrics)
+        self._cold = ColdAdmission(
+            silence_s=announce_interval_s * _SILENT_ANNOUNCEMENTS, now=self._loop.time()
+        )
+        self._cold_reason: ColdReason | None = None
+        self._loss_signs = LossSigns()
+        self._pauses = PauseDetector(
+            get_boot_time=get_boot_time or self._loop.time,
+            get_time=self._loop.time,
+            interval_s=_PAUSE_CHECK_INTERVAL_S,
+        )
+        self._slots = SlotQueue(count_slots=self._count_slots, metrics=metrics, cold=self._cold)
         self._announced_at = 0.0
         self._slow_start_ends_at = 0.0
         self._unavailable_until = 0.0
@@ -102,7 +125,10 @@
         self._tasks: set[asyncio.Task[Outcome]] = set()
         self.record: UpstreamRecord | None = None
         self.crash_guard = CrashGuard(
-            crash_registry, connections=self._connections, get_record=lambda: self.record
+            crash_registry,
+            connections=self._connections,
+            get_record=lambda: self.record,
+            on_crash=lambda: self.assume_cold(ColdReason.CRASH),
         )
         self._statistics = UpstreamStatistics()
         #: the node stops and sends no more requests to the upstream
@@ -122,6 +148,7 @@
         now = self._loop.time()
         if self._precedes_recalled(record) or not self._order.accept(record, now):
             return False
+        self._check_pause()
         if self.departures.has_left(record):
             record = record._replace(state=UpstreamState.DRAINING)
         elif record.state is UpstreamState.DRAINING:
@@ -140,6 +167,10 @@
         self.record = record
         self._announced_at = now
         self._slow_start_ends_at = now + record.slow_start_s
+        self._cold.apply_heartbeat(
+            started_at_ms=record.started_at_ms, cold_s=record.slow_start_s, now=now
+        )
+        self.update_cold_state()
         if self._unavailable_until:
             self._unavailable_until = 0.0
             changed = True
@@ -248,8 +279,58 @@
         return self._statistics.service_ms
 
     def is_in_slow_start(self) -> bool:
-        """Return whether the upstream is in slow start."""
-        return self._loop.time() < self._slow_start_ends_at
+        """Return whether the upstream is in slow start, or treated as cold."""
+        now = self._loop.time()
+        return now < self._slow_start_ends_at or self._cold.is_cold(now)
+
+    # -- cold upstream -----------------------------------------------------------------------
+
+    def set_cold_start(self, cold_start: ColdStart | None) -> None:
+        """Change what the upstream takes while cold; None if its service has no cold phase."""
+        self._cold.set_cold_start(cold_start, self._loop.time())
+        self.update_cold_state()
+
+    def assume_cold(self, reason: ColdReason) -> None:
+        """Treat the upstream as cold until its next heartbeat, since it may have started again."""
+        self._cold.assume_cold(reason, self._loop.time())
+        self.update_cold_state()
+
+    def update_cold_state(self) -> None:
+        """Log whether the upstream is treated as cold if that has changed, and tell the peers."""
+        self._check_pause()
+        previous, reason = self._cold_reason, self._cold.get_reason(self._loop.time())
+        if reason is previous:
+            return
+        self._cold_reason = reason
+        upstream_id = self.record.id if self.record is not None else ""
+        if reason is None:
+            logger.info("upstream-warm", extra={"upstream": upstream_id})
+        else:
+            cold_start = self._cold.cold_start
+            logger.info(
+                "upstream-cold",
+                extra={
+                    "upstream": upstream_id,
+                    "reason": reason,
+                    "rate_per_s": cold_start.rate_per_s if cold_start is not None else None,
+                },
+            )
+        if previous is None or reason is None:
+            self._on_change()
+            self._slots.start_queued()
+
+    def _check_pause(self) -> None:
+        """Assume that the upstream is cold if the process did not run for some time."""
+        pause_s = self._pauses.check()
+        if not pause_s:
+            return
+        self._cold.assume_cold(ColdReason.PAUSE, self._loop.time())
+        if self._cold.cold_start is not None:
+            logger.warning("process-paused", extra={"pause_s": round(pause_s, 2)})
+
+    def _refuse_cold(self, stage: str) -> Refused:
+        self._metrics.count("cold_admissions_held", stage)
+        return self._refuse("upstream-cold")
 
     def get_load(self) -> Load:
         """Return the current load of the upstream."""
@@ -322,6 +403,7 @@
         return await self._exchange(call, body, rest, deadline)
 
     def _check_admission(self, call: Call) -> Refused | None:
+        self._check_pause()
         record = self.record
         if record is None or not self.accepts_requests():
             return self._refuse("upstream-unavailable")
@@ -330,12 +412,17 @@
         if self._slots.has_free_slot():
             return None
         limited = self.running < record.slots and self._slots.get_limit_delay() > 0.0
+        held = self.running < record.slots and self._slots.is_held_by_cold()
         if call.queue_timeout_ms <= 0:
+            if held:
+                return self._refuse_cold("refused")
             return self._refuse("upstream-limited" if limited else "upstream-full")
         if self._estimate_wait(self._slots.count_ahead(call.priority)) > self._compute_max_wait(
             call
         ):
-            return self._refuse("upstream-busy")
+            return self._refuse_cold("refused") if held else self._refuse("upstream-busy")
+        if held:
+            self._metrics.count("cold_admissions_held", "queued")
         return None
 
     def _check_crashes(self, call: Call, body: bytes) -> Refused | None:
@@ -410,16 +497,22 @@
         if refusal is not None:
             self._connections.release(conn)
             return refusal
+        self._check_pause()
+        if not self._cold.try_send(started_at):
+            self._connections.release(conn)
+            return self._refuse_cold("unsent")
 
         timer = self._loop.call_at(deadline, conn.cancel, call, "deadline-passed")
 
         running = self.crash_guard.start(call, body)
+        fresh = conn.last_response_at == 0.0
 
         def finish(outcome: Outcome) -> None:
             timer.cancel()
             self._connections.release(conn)
             slot_hold.release()
             self.crash_guard.finish(running, outcome)
+            self._check_loss(outcome, fresh=fresh)
 
         future = conn.send(
             call,
@@ -444,6 +537,14 @@
         self._record_outcome(call, record, outcome, took_s * 1000)
         return outcome
 
+    def _check_loss(self, outcome: Outcome, *, fresh: bool) -> None:
+        """Assume that the upstream is cold if connections are lost as in a crash."""
+        if not isinstance(outcome, OutcomeUnknown) or outcome.code not in _LOSS_CODES:
+            return
+        heard = outcome.code != _UNHEARD_LOSS
+        if self._loss_signs.record_loss(self._loop.time(), fresh=fresh, heard=heard):
+            self.assume_cold(ColdReason.CRASH)
+
     def _apply_notices(self, call: Call, record: UpstreamRecord, notices: ResponseNotices) -> None:
         if self.record is None or self.record.started_at_ms != record.started_at_ms:
             # the response is of an earlier incarnation
@@ -481,6 +582,7 @@
     def _mark_unavailable(self, exc: OSError) -> None:
         logger.warning("upstream-unreachable", extra={"error": repr(exc)})
         self._unavailable_until = self._loop.time() + _UNAVAILABLE_S
+        self.assume_cold(ColdReason.UNREACHABLE)
         self._slots.deny_all("upstream-unreachable")
         self._on_change()
 
@@ -510,13 +612,14 @@
                 self._statistics.record_result(failed=True)
                 if code == "upstream-replaced":
                     self._unavailable_until = self._loop.time() + _UNAVAILABLE_S
+                    self.assume_cold(ColdReason.REPLACED)
                     self._on_change()
                 return
             case _:
                 return
         if not isinstance(outcome, OutcomeUnknown) or outcome.code != "caller-left":
             self._statistics.record_result(failed=failed)
-        in_slow_start = self._loop.time() < self._slow_start_ends_at
+        in_slow_start = self.is_in_slow_start()
         self._on_result(
             CallResult(record.service, record.version, call.route, failed, took_ms, in_slow_start)
         )
--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -5,16 +5,24 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.mesh._peers import rank_nodes
-from balsamhead.mesh._selection import Candidate, Locality, estimate_concurrency, is_in_time
+from balsamhead.mesh._selection import (
+    DEFAULT_SERVICE_MS,
+    Candidate,
+    Locality,
+    estimate_concurrency,
+    is_in_time,
+)
+from balsamhead.mesh.warmup import get_cold_limit
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
     from balsamhead.mesh._link_manager import LinkManager
     from balsamhead.mesh._peers import Peer
     from balsamhead.mesh._settings import MeshSettings
     from balsamhead.mesh._upstream import LocalUpstream
+    from balsamhead.mesh.model import ColdStart
 
 __all__ = ("UpstreamIndex",)
 
@@ -59,6 +67,11 @@
         #: when each service last had a nearby candidate, in s of the loop's clock
         self._nearby_seen_at: dict[str, float] = {}
         self._version_counts: dict[str, tuple[int, float, dict[str, int]]] = {}
+        self._cold_starts: Mapping[str, ColdStart] = {}
+
+    def set_cold_starts(self, cold_starts: Mapping[str, ColdStart]) -> None:
+        """Change what upstreams take while cold, by service."""
+        self._cold_starts = cold_starts
 
     def count_by_version(self, service: str, now: float) -> dict[str, int]:
         """Return how many upstreams of each version accept calls; cached for a short time."""
@@ -216,8 +229,12 @@
         return Candidate(
             node=record.name,
             version=view.version,
-            slots=estimate_concurrency(
-                view.slots, limit_per_s=peer.get_limit(), service_ms=peer.load.service_ms
+            slots=self._estimate_slots(
+                record.service,
+                view.slots,
+                in_slow_start=view.in_slow_start,
+                limit_per_s=peer.get_limit(),
+                service_ms=peer.load.service_ms,
             ),
             requests_ahead=peer.estimate_requests_ahead(now, priority),
             service_ms=peer.load.service_ms,
@@ -233,14 +250,37 @@
             limit_wait_ms=max(0.0, peer.limited_until - now) * 1000,
         )
 
+    def _estimate_slots(
+        self,
+        service: str,
+        slots: int,
+        *,
+        in_slow_start: bool,
+        limit_per_s: float | None,
+        service_ms: float,
+    ) -> float:
+        """Return how many requests an upstream can run at once within its rate limits."""
+        cold_start = self._cold_starts.get(service) if in_slow_start else None
+        if cold_start is None:
+            return estimate_concurrency(slots, limit_per_s=limit_per_s, service_ms=service_ms)
+        limit_per_s = get_cold_limit(cold_start, limit_per_s=limit_per_s)
+        # an upstream that has just started has measured no requests
+        return estimate_concurrency(
+            slots, limit_per_s=limit_per_s, service_ms=service_ms or DEFAULT_SERVICE_MS
+        )
+
     def _make_local_candidate(self, priority: int) -> Candidate:
         record, load = self._local.record, self._local.get_load()
         assert record is not None
         return Candidate(
             node=self._cfg.node,
             version=record.version,
-            slots=estimate_concurrency(
-                record.slots, limit_per_s=self._local.get_limit(), service_ms=load.service_ms
+            slots=self._estimate_slots(
+                record.service,
+                record.slots,
+                in_slow_start=self._local.is_in_slow_start(),
+                limit_per_s=self._local.get_limit(),
+                service_ms=load.service_ms,
             ),
             requests_ahead=load.count_requests_ahead(priority),
             service_ms=load.service_ms,
