Test cold upstreams with whole nodes, and let the rate alone limit them

Cause: callers avoided an upstream in slow start, so a cold one got 2 of 300 requests in 5 s beside a warm one, where it tolerates 5.5 a second.

Change: where the configuration names the rate of cold upstreams, callers rely on it and don't also count their requests as slower.

--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -70,7 +70,10 @@
         self._cold_starts: Mapping[str, ColdStart] = {}
 
     def set_cold_starts(self, cold_starts: Mapping[str, ColdStart]) -> None:
-        """Change what upstreams take while cold, by service."""
+        """Change what upstreams take while cold, by service.
+
+        The rate limits these upstreams, so the selection doesn't avoid them for their slow start.
+        """
         self._cold_starts = cold_starts
 
     def count_by_version(self, service: str, now: float) -> dict[str, int]:
@@ -238,7 +241,7 @@
             ),
             requests_ahead=peer.estimate_requests_ahead(now, priority),
             service_ms=peer.load.service_ms,
-            in_slow_start=view.in_slow_start,
+            in_slow_start=view.in_slow_start and record.service not in self._cold_starts,
             locality=Locality(
                 same_vm=False,
                 same_data_centre=record.data_centre == self._cfg.data_centre,
@@ -284,7 +287,9 @@
             ),
             requests_ahead=load.count_requests_ahead(priority),
             service_ms=load.service_ms,
-            in_slow_start=self._local.is_in_slow_start(),
+            in_slow_start=(
+                self._local.is_in_slow_start() and record.service not in self._cold_starts
+            ),
             locality=_SAME_VM,
             saturated=load.saturated,
             failure_rate=load.failure_rate,
--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -123,6 +123,8 @@
         self.born = 1000
         self.state = "ready"
         self.sequence = 0
+        #: time until which the upstream is cold, in s of the loop's clock
+        self.cold_ends_at = 0.0
         self.run_counts: Counter[str] = Counter()
         self.requests: list[Request] = []
         self.running = 0
@@ -180,7 +182,7 @@
             "version": self.version,
             "slots": self.slots,
             "state": self.state,
-            "cold_left": "0ms",
+            "cold_left": f"{self._get_cold_ms()}ms",
             "sequence": self.sequence,
             "born": self.born,
             **changes,
@@ -190,6 +192,9 @@
             self.cfg.announce_address, "PUT", f"/instances/{self.id}", json.dumps(body).encode()
         )
 
+    def _get_cold_ms(self) -> int:
+        return max(0, round((self.cold_ends_at - asyncio.get_running_loop().time()) * 1000))
+
     async def leave(self) -> Response:
         return await send(self.cfg.announce_address, "DELETE", f"/instances/{self.id}")
 
@@ -250,12 +255,21 @@
         await asyncio.sleep(3.0)
 
     async def add(
-        self, cfg: MeshSettings, *, version: str = "v1", upstream: FakeUpstream | None = None
+        self,
+        cfg: MeshSettings,
+        *,
+        version: str = "v1",
+        upstream: FakeUpstream | None = None,
+        get_boot_time: Callable[[], float] | None = None,
     ) -> Member:
         CURRENT_HOST.set(cfg.peer_address.split(":")[0])
         store = StoreClient(cfg.store_address)
         node = MeshNode(
-            cfg, records=PlatformRecords(store), store=store, rng=random.Random(cfg.node)
+            cfg,
+            records=PlatformRecords(store),
+            store=store,
+            rng=random.Random(cfg.node),
+            get_boot_time=get_boot_time,
         )
         task = asyncio.get_running_loop().create_task(node.run())
         if upstream is None:
