Count a response with an unreadable status as lost

Cause: the parser accepted statuses 600 to 999, and a response with an interim status and a body was skipped as interim; its body was read as the next head. A status that a peer passed on was not checked at all. Callers got such statuses as answers.

Change: only 100 to 599 can be read. An interim response with a length or a stamp is what the upstream means as its final one, and can't be read either. A final status from a peer must be 200 to 599; otherwise the call is lost (`response-unreadable`) and a streamed body is cancelled. The first path and the store's client use the same parser.

--- a/balsamhead/mesh/_link.py
+++ b/balsamhead/mesh/_link.py
@@ -35,6 +35,7 @@
     ResponseHeader,
     make_call_header,
 )
+from balsamhead.util.http1 import is_final_status
 from balsamhead.util.sockets import reset_on_close, set_option
 
 if TYPE_CHECKING:
@@ -353,6 +354,8 @@
         if frame.kind == FrameKind.RESPONSE:
             header = decode_header(frame, ResponseHeader, peer=self.peer)
             self._handler.load_received(self, header.load, ended=priority)
+            if not is_final_status(header.status):
+                return self._reject_response(frame.stream, header)
             body_stream = None if header.complete else BodyPipe()
             return UpstreamResponse(
                 header.status,
@@ -370,6 +373,13 @@
         code = decode_header(frame, CodeHeader, peer=self.peer).code
         return NotExecuted(code) if frame.kind == FrameKind.REJECTED else OutcomeUnknown(code)
 
+    def _reject_response(self, stream_id: int, header: ResponseHeader) -> OutcomeUnknown:
+        """Return the outcome of a call whose response has an unreadable status."""
+        logger.warning("response-unreadable", extra={"peer": self.peer, "status": header.status})
+        if not header.complete:
+            self.send(FrameKind.CANCEL, stream_id)
+        return OutcomeUnknown("answer-malformed")
+
     def _attach_flow_control(self, stream_id: int, pipe: BodyPipe) -> None:
         def send_credit(size: int) -> None:
             self.send(FrameKind.CREDIT, stream_id, None, size.to_bytes(4, "big"))
--- a/balsamhead/mesh/_upstream_connection.py
+++ b/balsamhead/mesh/_upstream_connection.py
@@ -267,6 +267,9 @@
             if start.status >= 200:
                 self._head_bytes = 0
                 return start
+            if parse_upstream_headers(start.status, start.headers).signed:
+                # only the final response bears a stamp
+                raise FramingError("answer-malformed")
             self._head_bytes += len(block)
         self._check_head_size(len(self._buffer))
         return None
--- a/balsamhead/util/http1.py
+++ b/balsamhead/util/http1.py
@@ -20,6 +20,7 @@
     "RequestHead",
     "ResponseHead",
     "encode_chunk",
+    "is_final_status",
     "parse_chunk_size",
     "parse_integer_header",
     "parse_request_head",
@@ -44,7 +45,7 @@
     rb"(" + _TOKEN_PATTERN + rb") (/[!-~]*) HTTP/1\.([01])\r\n(?:" + _LINE_PATTERN + rb")*\r\n"
 )
 _RESPONSE_HEAD = re.compile(
-    rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: ("
+    rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: ("
     + _VALUE_PATTERN
     + rb"))?\r\n(?:"
     + _LINE_PATTERN
@@ -165,7 +166,8 @@
 
     :param method: method of the request.
     :param excluded_headers: names, in lower case, of headers to omit from ``forwarded``.
-    :raises FramingError: the head violates HTTP/1.x or a limit, or its status is 101.
+    :raises FramingError: the head violates HTTP/1.x or a limit, its status is 101 or not 100 to
+        599, or it is interim but has a body.
     """
     found = _RESPONSE_HEAD.fullmatch(block)
     if found is None:
@@ -175,6 +177,9 @@
         raise FramingError("answer-malformed")
     fields = _parse_header_lines(block[block.index(b"\r\n") + 2 : -4], excluded_headers)
     length = _parse_body_length(fields.values, minor=minor)
+    if status < 200 and length is not None:
+        # The upstream means it as the final response; what follows is a body, not a head.
+        raise FramingError("answer-malformed")
     if length is None:
         length = UNTIL_CLOSE
     if method == "HEAD" or status in (204, 304) or status < 200:
@@ -189,6 +194,11 @@
     )
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a final response may have a status; any other one can't be read."""
+    return 200 <= status <= 599
+
+
 def parse_integer_header(values: dict[bytes, list[bytes]], key: bytes) -> int | None:
     """Return the value of a header that holds one decimal number; None if it is absent.
 
