--- a/tests/test_proxy/fake_network.py
+++ b/tests/test_proxy/fake_network.py
@@ -39,6 +39,8 @@
     "half-head-after-run",
     "half-body-after-run",
     "garbage-after-run",
+    "odd-status-after-run",
+    "interim-status-after-run",
     "silent-unrun",
     "silent-after-run",
     "refuse-connection",
@@ -130,6 +132,10 @@
                 upstream_sock.close()
             case "garbage-after-run":
                 upstream_sock.sendall(b"what\r\n\r\n")
+            case "odd-status-after-run":
+                upstream_sock.sendall(answer.replace(b" 200 ", b" 999 ", 1))
+            case "interim-status-after-run":
+                upstream_sock.sendall(answer.replace(b" 200 ", b" 103 ", 1))
             case "silent-unrun" | "silent-after-run":
                 self.delayed.append((upstream_sock, answer))
             case _:
