Enforce allowed regions and evacuations at both ends of a call

Routes and accounts can be bound to regions, and the operator can evacuate a data centre; both were decoded but had no effect.

The caller's node leaves out upstreams outside the allowed regions and in evacuated data centres, for first attempts, retries and crash trials. The upstream's node checks its own place against its own state on admission, when that state changes while calls are queued, and just before it sends. A node that knows no state yet admits no calls, since its data centre could be evacuated. Bulk requests leave an evacuated data centre at once.

The layer test admits the decision packages in all layers of the mesh.

--- a/balsamhead/mesh/_crash_guard.py
+++ b/balsamhead/mesh/_crash_guard.py
@@ -58,7 +58,7 @@
             on_crash=self._record_crash,
         )
         #: returns whether the trials of a request run on this upstream
-        self.is_trial_node: Callable[[bytes], bool] = lambda fingerprint: True
+        self.is_trial_node: Callable[[bytes, Call], bool] = lambda fingerprint, call: True
 
     def check(self, call: Call, body: bytes) -> Refused | None:
         """Return the refusal of a request that must not be sent to the upstream now, or None."""
@@ -73,7 +73,7 @@
             return None
         if self.detector.is_busy_for(fingerprint):
             return Refused(TRIAL_RUNNING)
-        if not self.is_trial_node(fingerprint):
+        if not self.is_trial_node(fingerprint, call):
             return Refused(TRIAL_ELSEWHERE)
         return None
 
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -18,6 +18,7 @@
 from balsamhead.mesh._link_manager import LinkManager, PeerEventHandler
 from balsamhead.mesh._metrics import MeshMetrics
 from balsamhead.mesh._peers import Heartbeat, Hello, Peer, UpstreamView
+from balsamhead.mesh._placement import Placement
 from balsamhead.mesh._refusal_archive import RefusalArchive
 from balsamhead.mesh._request_router import RequestRouter
 from balsamhead.mesh._rollout_exchange import RolloutExchange
@@ -118,6 +119,8 @@
             metrics=self._metrics,
             crash_registry=self._crash_registry,
         )
+        self._placement = Placement(self._own_record)
+        self._local_upstream.placement = self._placement
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
         self._crash_exchange = CrashExchange(self._crash_registry, link_manager=self._link_manager)
         self._refusal_archive = RefusalArchive(self._crash_registry, records)
@@ -133,17 +136,21 @@
             window_s=cfg.retry_window,
             count_nodes=lambda: len(self._link_manager.table.peers) + 1,
         )
-        upstream_index = UpstreamIndex(
-            cfg, link_manager=self._link_manager, local=self._local_upstream, rng=rng
+        self._upstream_index = UpstreamIndex(
+            cfg,
+            link_manager=self._link_manager,
+            local=self._local_upstream,
+            placement=self._placement,
+            rng=rng,
         )
-        self._local_upstream.crash_guard.is_trial_node = upstream_index.is_trial_node
+        self._local_upstream.crash_guard.is_trial_node = self._upstream_index.is_trial_node
         self._caller_side = RequestRouter(
             cfg,
             link_manager=self._link_manager,
             local=self._local_upstream,
             budget=self._budget,
             traffic_split=self._traffic_split,
-            upstream_index=upstream_index,
+            upstream_index=self._upstream_index,
             crash_registry=self._crash_registry,
             metrics=self._metrics,
             rng=rng,
@@ -300,6 +307,9 @@
         await self._register_node()
 
     def _apply_state(self, state: OperatorState) -> None:
+        self._placement.apply(state)
+        self._upstream_index.apply_placement()
+        self._local_upstream.apply_placement()
         if state.config is not None:
             self._caller_side.set_config(state.config)
         if -1 < self._registered_era < get_era(state.offset):
@@ -318,6 +328,9 @@
         self._rollouts.report_evidence()
         self._rollouts.advance(self._sync.state.orders.values())
         self._crash_registry.expire(self._loop.time())
+        if self._registered_era > -1:
+            peers = self._link_manager.table.peers.values()
+            self._placement.report_unknown_places(peer.record for peer in peers)
         if self._loop.time() >= self._slot_usage_due_at:
             self._slot_usage_due_at = self._loop.time() + _SLOT_USAGE_INTERVAL_S
             self._local_upstream.log_slot_usage()
@@ -459,6 +472,9 @@
         register_gauge(
             "requests_refused_for_crashes", lambda: {"": self._crash_registry.count_refused()}
         )
+        register_gauge(
+            "data_centres_evacuated", lambda: {"": len(self._placement.evacuation.evacuated)}
+        )
         register_gauge("links_live", lambda: {"": len(self._link_manager.list_live())})
         register_gauge("store_calls", lambda: {key[1:]: n for key, n in self._store.calls.items()})
 
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -331,6 +331,7 @@
             objective_ms=int((trace.objective_deadline - now) * 1000),
             queue_timeout_ms=int((trace.queue_deadline - now) * 1000) if may_wait else 0,
             urgent=trace.urgent,
+            account=trace.account,
         )
         self._selector.route_times.record_selection(route.name, candidate.service_ms)
         outcome = await self._call_node(call, request, candidate)
--- a/balsamhead/mesh/_request_trace.py
+++ b/balsamhead/mesh/_request_trace.py
@@ -52,6 +52,7 @@
     """State of a request while it is routed."""
 
     __slots__ = (
+        "account",
         "attempted_nodes",
         "attempts",
         "deliveries",
@@ -67,6 +68,8 @@
     def __init__(self, request_id: bytes) -> None:
         self.request_id = request_id.decode("latin-1")
         self.route = ""
+        #: name of the client account; empty if the request needs no key
+        self.account = ""
         self.attempted_nodes: list[str] = []
         #: the attempts that have ended
         self.attempts: list[Attempt] = []
--- a/balsamhead/mesh/_selection.py
+++ b/balsamhead/mesh/_selection.py
@@ -130,17 +130,17 @@
     kind: RouteKind,
     size_bytes: float,
     rng: random.Random,
+    may_leave_region: bool = False,
 ) -> Selection | None:
     """Select the upstream with the lowest expected time and cost.
 
-    Bulk calls never leave the region.
-
+    :param may_leave_region: bulk calls may leave the region if no candidate is in it.
     :param size_bytes: expected size of the request and its response.
     :returns: None if no candidate is eligible.
     """
     eligible = _fill_in_service_times(list(candidates))
     if kind is RouteKind.BULK:
-        eligible = _restrict_to_nearby(eligible)
+        eligible = _restrict_to_nearby(eligible) or (eligible if may_leave_region else [])
     best: Selection | None = None
     best_score = 0.0
     for candidate in eligible:
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from collections import Counter
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.mesh._announcement_order import AnnouncementOrder
@@ -32,6 +33,7 @@
 
     from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._metrics import MeshMetrics
+    from balsamhead.mesh._placement import Placement
     from balsamhead.mesh._upstream_connection import UpstreamConnection
     from balsamhead.mesh.model import Departure
 
@@ -107,6 +109,10 @@
         self._statistics = UpstreamStatistics()
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
+        #: where the operator allows requests to be served; None for everywhere
+        self.placement: Placement | None = None
+        #: queued calls by the timeout that ends their wait
+        self._waiting_calls: dict[asyncio.Timeout, Call] = {}
 
     # -- record ------------------------------------------------------------------------------
 
@@ -232,8 +238,26 @@
             and now >= self._unavailable_until
             and now - self._announced_at < self._announcement_timeout_s
             and not self.stopping
+            and (self.placement is None or not self.placement.hold_code)
         )
 
+    def apply_placement(self) -> None:
+        """Deny the queued calls that may not be served here any more; running ones go on."""
+        denied: Counter[str] = Counter()
+        for timeout, call in self._waiting_calls.items():
+            code = self._find_misplacement(call)
+            if code:
+                timeout.reschedule(self._loop.time())
+                denied[code] += 1
+        for code, count in denied.items():
+            logger.info("waiting-refused", extra={"code": code, "requests": count})
+        self._on_change()
+        self._slots.start_queued()
+
+    def _find_misplacement(self, call: Call) -> str:
+        """Return the code with which a call is refused since it may not be served here, or ""."""
+        return "" if self.placement is None else self.placement.find_refusal_code(call)
+
     def _count_slots(self) -> int:
         return self.record.slots if self.record is not None and self.accepts_requests() else 0
 
@@ -312,7 +336,7 @@
         if self._slots.has_free_slot():
             self._slots.acquire()
         elif not await self._wait_for_slot(call):
-            return self._refuse("upstream-busy")
+            return self._refuse(self._find_misplacement(call) or "upstream-busy")
         if call.route_kind is RouteKind.ONCE:
             # A request that must run at most once is not cancelled when its caller disconnects.
             task = self._loop.create_task(self._exchange(call, body, rest, deadline))
@@ -323,6 +347,9 @@
 
     def _check_admission(self, call: Call) -> Refused | None:
         record = self.record
+        misplacement = self._find_misplacement(call)
+        if misplacement:
+            return self._refuse(misplacement)
         if record is None or not self.accepts_requests():
             return self._refuse("upstream-unavailable")
         if record.service != call.service or (call.version and call.version != record.version):
@@ -368,7 +395,16 @@
 
     async def _wait_for_slot(self, call: Call) -> bool:
         max_wait_s = self._compute_max_wait(call) / 1000
-        return await self._slots.wait(call.priority, max_wait_s=max_wait_s)
+        try:
+            async with asyncio.timeout(None) as timeout:
+                self._waiting_calls[timeout] = call
+                try:
+                    return await self._slots.wait(call.priority, max_wait_s=max_wait_s)
+                finally:
+                    del self._waiting_calls[timeout]
+        except TimeoutError:
+            # the configuration or an evacuation forbids the call by now
+            return False
 
     async def _exchange(
         self, call: Call, body: bytes, rest: BodyRest | None, deadline: float
@@ -400,7 +436,7 @@
         record = self.record
         if record is None or not self._may_still_send(call, record):
             self._connections.release(conn)
-            return self._refuse("upstream-draining")
+            return self._refuse(self._find_misplacement(call) or "upstream-draining")
         started_at = self._loop.time()
         remaining_s = deadline - started_at
         if remaining_s <= 0:
@@ -466,7 +502,11 @@
             self._remove(self.record, extra={"request": call.request_id.decode("latin-1")})
 
     def _may_still_send(self, call: Call, record: UpstreamRecord) -> bool:
-        return self.accepts_requests() and (not call.version or call.version == record.version)
+        return (
+            self.accepts_requests()
+            and (not call.version or call.version == record.version)
+            and not self._find_misplacement(call)
+        )
 
     async def _connect(self, call: Call) -> UpstreamConnection | None:
         try:
--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -6,15 +6,27 @@
 
 from balsamhead.mesh._peers import rank_nodes
 from balsamhead.mesh._selection import Candidate, Locality, estimate_concurrency, is_in_time
+from balsamhead.mesh.residency import (
+    Absence,
+    UpstreamRoom,
+    compute_utilisation,
+    compute_yield_probability,
+    explain_absence,
+    is_region_allowed,
+    list_yielding,
+)
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Collection
 
+    from balsamhead.mesh._calls import Call
     from balsamhead.mesh._link_manager import LinkManager
     from balsamhead.mesh._peers import Peer
+    from balsamhead.mesh._placement import Placement
     from balsamhead.mesh._settings import MeshSettings
     from balsamhead.mesh._upstream import LocalUpstream
+    from balsamhead.mesh.residency import Regions
 
 __all__ = ("UpstreamIndex",)
 
@@ -48,9 +60,11 @@
         *,
         link_manager: LinkManager,
         local: LocalUpstream,
+        placement: Placement,
         rng: random.Random,
     ) -> None:
         self._cfg = cfg
+        self.placement = placement
         self._link_manager = link_manager
         self._local = local
         self._rng = rng
@@ -58,27 +72,64 @@
         self._groups_by_service: dict[str, dict[str, _VersionGroup]] = {}
         #: when each service last had a nearby candidate, in s of the loop's clock
         self._nearby_seen_at: dict[str, float] = {}
-        self._version_counts: dict[str, tuple[int, float, dict[str, int]]] = {}
+        self._version_counts: dict[tuple[str, Regions], tuple[int, float, dict[str, int]]] = {}
+        #: regions of the known nodes by service, without and within evacuated data centres
+        self._open_regions: dict[str, set[str]] = {}
+        self._evacuated_regions: dict[str, set[str]] = {}
 
-    def count_by_version(self, service: str, now: float) -> dict[str, int]:
-        """Return how many upstreams of each version accept calls; cached for a short time."""
-        cached = self._version_counts.get(service)
+    def apply_placement(self) -> None:
+        """Leave out the data centres that are evacuated by now."""
+        self._indexed_epoch = -1
+        self._version_counts.clear()
+
+    def explain_absence(self, service: str, regions: Regions) -> Absence:
+        """Return how a request is refused for which no upstream accepts calls."""
+        self._get_groups(service)
+        return explain_absence(
+            bound=regions is not None,
+            known=_has_any(self._open_regions.get(service, ()), regions),
+            evacuated=_has_any(self._evacuated_regions.get(service, ()), regions),
+        )
+
+    def may_leave_region(self, service: str, regions: Regions) -> bool:
+        """Return whether bulk requests may go to other regions than that of this node.
+
+        They stay unless they may not be served here, or all nodes of the service here are in
+        evacuated data centres.
+        """
+        region = self._cfg.region
+        if not is_region_allowed(regions, region):
+            return True
+        evacuated = region in self._evacuated_regions.get(service, ())
+        return evacuated and region not in self._open_regions.get(service, ())
+
+    def count_by_version(self, service: str, now: float, regions: Regions = None) -> dict[str, int]:
+        """Return how many upstreams of each version accept calls; cached for a short time.
+
+        :param regions: allowed regions; None for all.
+        """
+        cached = self._version_counts.get((service, regions))
         groups = self._get_groups(service)
         if cached is not None and cached[0] == self._indexed_epoch and now < cached[1]:
             return cached[2]
-        counts = self._compute_version_counts(service, groups, now)
-        self._version_counts[service] = (self._indexed_epoch, now + _VERSION_COUNT_TTL_S, counts)
+        counts = self._compute_version_counts(service, groups, now, regions)
+        expires_at = now + _VERSION_COUNT_TTL_S
+        self._version_counts[service, regions] = (self._indexed_epoch, expires_at, counts)
         return counts
 
     def _compute_version_counts(
-        self, service: str, groups: dict[str, _VersionGroup], now: float
+        self, service: str, groups: dict[str, _VersionGroup], now: float, regions: Regions
     ) -> dict[str, int]:
         counts: dict[str, int] = {}
         for version, group in groups.items():
-            count = sum(self._accepts_calls(peer, now) for rows in group for peer in rows)
+            count = sum(
+                self._accepts_calls(peer, now)
+                for rows in group
+                for peer in _list_allowed(rows, regions)
+            )
             if count:
                 counts[version] = count
-        if self._serves_locally(service):
+        if self._serves_locally(service, regions):
             assert self._local.record is not None
             version = self._local.record.version
             counts[version] = counts.get(version, 0) + 1
@@ -95,6 +146,8 @@
         time_ratio: float,
         prefer_nearby: bool,
         now: float,
+        regions: Regions = None,
+        may_yield: bool = False,
     ) -> list[Candidate]:
         """Return nearby upstreams of some versions, and a few remote ones if none of them would
         serve the request in time.
@@ -103,33 +156,77 @@
         :param objective_ms: time until the latency objective is missed.
         :param time_ratio: ratio of the expected time of the request to the mean at an upstream.
         :param prefer_nearby: add remote ones only after some seconds without a nearby one.
+        :param regions: allowed regions; None for all.
+        :param may_yield: the request may leave a crowded region to requests that are bound to it.
         """
         nearby: list[Peer] = []
         remote: list[Peer] = []
         for version, group in self._get_groups(service).items():
             if version in versions:
-                nearby += [peer for peer in group.nearby if self._is_eligible(peer, excluded, now)]
-                remote += group.remote
+                allowed = _list_allowed(group.nearby, regions)
+                nearby += [peer for peer in allowed if self._is_eligible(peer, excluded, now)]
+                remote += _list_allowed(group.remote, regions)
         candidates = [
             self._make_candidate(peer, priority, now)
             for peer in self._sample(nearby, _NEARBY_SAMPLE_SIZE)
         ]
-        if self._serves_locally(service) and self._cfg.node not in excluded:
+        if self._serves_locally(service, regions) and self._cfg.node not in excluded:
             local_candidate = self._make_local_candidate(priority)
             if local_candidate.version in versions:
                 candidates.append(local_candidate)
         if candidates:
             self._nearby_seen_at[service] = now
-        if prefer_nearby and now - self._nearby_seen_at.setdefault(service, now) < _NEARBY_ONLY_S:
+        leaves_data_centre = not self._may_serve_nearby(regions)
+        if (
+            prefer_nearby
+            and not leaves_data_centre
+            and now - self._nearby_seen_at.setdefault(service, now) < _NEARBY_ONLY_S
+        ):
             return candidates
         candidates = [row._replace(time_ratio=time_ratio) for row in candidates]
-        if not any(is_in_time(candidate, objective_ms) for candidate in candidates):
+        carrying: frozenset[str] = frozenset()
+        if may_yield and regions is None:
+            carrying = self.placement.residency.get_carrying_regions(service)
+        draw = self._rng.random() if carrying else 1.0
+        yields = self._cfg.region in carrying and draw < compute_yield_probability(
+            compute_utilisation(self._make_rooms(candidates, objective_ms))
+        )
+        if yields or not any(is_in_time(candidate, objective_ms) for candidate in candidates):
             eligible_remote = [peer for peer in remote if self._is_eligible(peer, excluded, now)]
+            if yields or (prefer_nearby and leaves_data_centre):
+                eligible_remote = self._prefer_region(eligible_remote, own=not yields)
             candidates += [
                 self._make_candidate(peer, priority, now)._replace(time_ratio=time_ratio)
                 for peer in self._sample(eligible_remote, _REMOTE_SAMPLE_SIZE)
             ]
-        return candidates
+        if not carrying:
+            return candidates
+        rooms = self._make_rooms(candidates, objective_ms)
+        left = list_yielding(rooms, carrying=carrying, draw=draw)
+        return [row for index, row in enumerate(candidates) if index not in left]
+
+    def _may_serve_nearby(self, regions: Regions) -> bool:
+        """Return whether upstreams of this data centre may serve a request."""
+        return is_region_allowed(regions, self._cfg.region) and (
+            not self.placement.evacuation.own_evacuated
+        )
+
+    def _prefer_region(self, peers: list[Peer], *, own: bool) -> list[Peer]:
+        """Return the peers within the region of this node, or outside it; all if there are none."""
+        region = self._cfg.region
+        return [peer for peer in peers if (peer.record.region == region) == own] or peers
+
+    def _make_rooms(self, candidates: list[Candidate], objective_ms: float) -> list[UpstreamRoom]:
+        peers = self._link_manager.table.peers
+        return [
+            UpstreamRoom(
+                self._cfg.region if row.locality.same_region else peers[row.node].record.region,
+                row.slots,
+                row.requests_ahead,
+                is_in_time(row, objective_ms),
+            )
+            for row in candidates
+        ]
 
     def list_trial_candidates(
         self,
@@ -140,12 +237,13 @@
         excluded: Collection[str],
         priority: int,
         now: float,
+        regions: Regions = None,
     ) -> list[Candidate]:
         """Return the only upstream on which a request may be on trial; none if it takes no calls.
 
-        All nodes that know the same upstreams return the same one.
+        All nodes that know the same upstreams return the same one for the same allowed regions.
         """
-        node = self._find_trial_node(service, versions, fingerprint)
+        node = self._find_trial_node(service, versions, fingerprint, regions)
         if node is None or node in excluded:
             return []
         if node == self._cfg.node:
@@ -153,26 +251,31 @@
         peer = self._link_manager.table.peers[node]
         return [self._make_candidate(peer, priority, now)] if self._accepts_calls(peer, now) else []
 
-    def is_trial_node(self, fingerprint: bytes) -> bool:
-        """Return whether a request may be on trial on this node's upstream."""
+    def is_trial_node(self, fingerprint: bytes, call: Call) -> bool:
+        """Return whether the request of a call may be on trial on this node's upstream."""
         record = self._local.record
         if record is None:
             return False
-        node = self._find_trial_node(record.service, (record.version,), fingerprint)
+        regions = self.placement.get_regions(call.route, call.account)
+        node = self._find_trial_node(record.service, (record.version,), fingerprint, regions)
         return node == self._cfg.node
 
     def _find_trial_node(
-        self, service: str, versions: Collection[str], fingerprint: bytes
+        self, service: str, versions: Collection[str], fingerprint: bytes, regions: Regions
     ) -> str | None:
         names = [
             peer.record.name
             for version, group in self._get_groups(service).items()
             if version in versions
             for peers in group
-            for peer in peers
+            for peer in _list_allowed(peers, regions)
         ]
         record = self._local.record
-        if self._serves_locally(service) and record is not None and record.version in versions:
+        if (
+            self._serves_locally(service, regions)
+            and record is not None
+            and record.version in versions
+        ):
             names.append(self._cfg.node)
         ranked_names = rank_nodes(names, f"trial/{fingerprint.hex()}")
         return ranked_names[0] if ranked_names else None
@@ -188,8 +291,14 @@
 
     def _rebuild_index(self) -> None:
         self._groups_by_service = {}
+        evacuated = self.placement.evacuation.evacuated
+        self._open_regions, self._evacuated_regions = {}, {}
+        self._add_place(self._cfg.service, self._cfg.region, self._cfg.data_centre in evacuated)
         for peer in self._link_manager.table.peers.values():
-            view = peer.upstream
+            view, record = peer.upstream, peer.record
+            self._add_place(record.service, record.region, record.data_centre in evacuated)
+            if record.data_centre in evacuated:
+                continue
             if view is None or not view.accepts_requests or peer.is_upstream_leaving():
                 continue
             if peer.stopping or peer.link is None:
@@ -199,8 +308,16 @@
             nearby = peer.record.data_centre == self._cfg.data_centre
             (group.nearby if nearby else group.remote).append(peer)
 
-    def _serves_locally(self, service: str) -> bool:
-        return service == self._cfg.service and self._local.accepts_requests()
+    def _add_place(self, service: str, region: str, evacuated: bool) -> None:
+        places = self._evacuated_regions if evacuated else self._open_regions
+        places.setdefault(service, set()).add(region)
+
+    def _serves_locally(self, service: str, regions: Regions) -> bool:
+        return (
+            service == self._cfg.service
+            and is_region_allowed(regions, self._cfg.region)
+            and self._local.accepts_requests()
+        )
 
     def _is_eligible(self, peer: Peer, excluded: Collection[str], now: float) -> bool:
         return self._accepts_calls(peer, now) and peer.record.name not in excluded
@@ -250,3 +367,13 @@
             failure_rate=load.failure_rate,
             limit_wait_ms=self._local.get_limit_wait() * 1000,
         )
+
+
+def _list_allowed(peers: list[Peer], regions: Regions) -> list[Peer]:
+    if regions is None:
+        return peers
+    return [peer for peer in peers if peer.record.region in regions]
+
+
+def _has_any(known_regions: Collection[str], regions: Regions) -> bool:
+    return any(is_region_allowed(regions, region) for region in known_regions)
--- a/balsamhead/mesh/_upstream_selector.py
+++ b/balsamhead/mesh/_upstream_selector.py
@@ -20,6 +20,7 @@
     from balsamhead.mesh._request_reader import Request
     from balsamhead.mesh._traffic_split import TrafficSplit
     from balsamhead.mesh._upstream_index import UpstreamIndex
+    from balsamhead.mesh.residency import Regions
 
 __all__ = ("STOPPING_RETRY_AFTER_S", "UpstreamSelector")
 
@@ -77,11 +78,16 @@
         :param deadline: deadline of the request, in s of the loop's clock.
         """
         now = self._loop.time()
-        if not self._upstream_index.count_by_version(service, now):
-            return Refused("no-upstream")
-        candidates = self._list_candidates(request, route, service, excluded, trace, now)
+        regions = self._upstream_index.placement.get_regions(route.name, trace.account)
+        if not self._upstream_index.count_by_version(service, now, regions):
+            return Refused(*self._upstream_index.explain_absence(service, regions))
+        candidates = self._list_candidates(request, route, service, excluded, trace, now, regions)
         selection = select_upstream(
-            candidates, kind=route.kind, size_bytes=self._estimate_size(route), rng=self._rng
+            candidates,
+            kind=route.kind,
+            size_bytes=self._estimate_size(route),
+            rng=self._rng,
+            may_leave_region=self._upstream_index.may_leave_region(service, regions),
         )
         if selection is None:
             return Refused("upstreams-excluded")
@@ -114,8 +120,9 @@
         excluded: set[str],
         trace: RequestTrace,
         now: float,
+        regions: Regions,
     ) -> list[Candidate]:
-        versions = self._upstream_index.count_by_version(service, now)
+        versions = self._upstream_index.count_by_version(service, now, regions)
         allowed = self._traffic_split.select_versions(service, versions)
         if self._crash_view.is_on_trial(request):
             return self._upstream_index.list_trial_candidates(
@@ -125,6 +132,7 @@
                 excluded=excluded,
                 priority=route.priority,
                 now=now,
+                regions=regions,
             )
         return self._upstream_index.list_candidates(
             service,
@@ -135,4 +143,6 @@
             time_ratio=self.route_times.get_ratio(route.name),
             prefer_nearby=route.kind is RouteKind.BULK,
             now=now,
+            regions=regions,
+            may_yield=route.kind is not RouteKind.BULK and not route.large_requests,
         )
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -38,6 +38,7 @@
         "_order_history",
         "_flow_control",
         "_link_headers",
+        "_placement",
         "_request_reader",
         "_routes",
         "_selection",
@@ -104,7 +105,8 @@
 @pytest.mark.parametrize("number", range(len(LAYERS)))
 def test_mesh_modules_import_only_lower_layers(number: int) -> None:
     allowed = {name for layer in LAYERS[:number] for name in layer}
-    # the public model module may be imported from every layer
+    allowed.update(folder.name for folder in list_decision_packages())
+    # the public model module and the decision packages may be imported from every layer
     for name in LAYERS[number]:
         for module in find_imports(PACKAGE / "mesh" / f"{name}.py"):
             if module.startswith("balsamhead.mesh."):
