--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -18,6 +18,7 @@
 from balsamhead.mesh._link_manager import LinkManager, PeerEventHandler
 from balsamhead.mesh._metrics import MeshMetrics
 from balsamhead.mesh._peers import Heartbeat, Hello, Peer, UpstreamView
+from balsamhead.mesh._placement import Placement
 from balsamhead.mesh._refusal_archive import RefusalArchive
 from balsamhead.mesh._request_router import RequestRouter
 from balsamhead.mesh._rollout_exchange import RolloutExchange
@@ -34,6 +35,7 @@
     OperatorState,
     UpstreamNotice,
 )
+from balsamhead.mesh.warmup import ColdReason
 from balsamhead.platform.headers import DROPPED_REQUEST_HEADERS
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
@@ -125,6 +127,11 @@
             crash_registry=self._crash_registry,
             get_boot_time=get_boot_time,
         )
+        self._placement = Placement(self._own_record)
+        self._local_upstream.placement = self._placement
+        self._placement.on_own_evacuation_ended = lambda: self._local_upstream.assume_cold(
+            ColdReason.EVACUATION
+        )
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
         self._crash_exchange = CrashExchange(self._crash_registry, link_manager=self._link_manager)
         self._refusal_archive = RefusalArchive(self._crash_registry, records)
@@ -141,7 +148,11 @@
             count_nodes=lambda: len(self._link_manager.table.peers) + 1,
         )
         self._upstream_index = UpstreamIndex(
-            cfg, link_manager=self._link_manager, local=self._local_upstream, rng=rng
+            cfg,
+            link_manager=self._link_manager,
+            local=self._local_upstream,
+            placement=self._placement,
+            rng=rng,
         )
         self._local_upstream.crash_guard.is_trial_node = self._upstream_index.is_trial_node
         self._caller_side = RequestRouter(
@@ -307,6 +318,9 @@
         await self._register_node()
 
     def _apply_state(self, state: OperatorState) -> None:
+        self._placement.apply(state)
+        self._upstream_index.apply_placement()
+        self._local_upstream.apply_placement()
         if state.config is not None:
             self._caller_side.set_config(state.config)
             cold_starts = state.config.cold_starts or {}
@@ -329,6 +343,9 @@
         self._rollouts.report_evidence()
         self._rollouts.advance(self._sync.state.orders.values())
         self._crash_registry.expire(self._loop.time())
+        if self._registered_era > -1:
+            peers = self._link_manager.table.peers.values()
+            self._placement.report_unknown_places(peer.record for peer in peers)
         if self._loop.time() >= self._slot_usage_due_at:
             self._slot_usage_due_at = self._loop.time() + _SLOT_USAGE_INTERVAL_S
             self._local_upstream.log_slot_usage()
@@ -470,6 +487,9 @@
         register_gauge(
             "requests_refused_for_crashes", lambda: {"": self._crash_registry.count_refused()}
         )
+        register_gauge(
+            "data_centres_evacuated", lambda: {"": len(self._placement.evacuation.evacuated)}
+        )
         register_gauge("links_live", lambda: {"": len(self._link_manager.list_live())})
         register_gauge("store_calls", lambda: {key[1:]: n for key, n in self._store.calls.items()})
 
