Accept keys only while the configuration is known to have been the newest

Cause: a node that is cut off, paused or restarted accepted a revoked key for as long as it held an earlier configuration. With key_lease set, the operator's bound is 5 s after the acknowledgement.

Change: a lease holds the newest proof that the store held no record beyond this node's position. A reader's long poll proves it as of when it was sent, if the response reaches to the end of the topic; a peer's proof counts from when the query was sent, less its age. Nodes query a peer about once a second: in meshes of more than 64 nodes the first 64 ask the readers, and all others ask one of these. Proofs of another generation of the store don't count. A newest configuration that can't be read is recorded in the state, so that nodes which got the state from a peer don't count it as known either. FRESHNESS_QUERY and FRESHNESS are sent only where key_lease is set and the configuration has accounts.

read_operator_state returns the state and whether the store confirmed it; its tests take the state from that.

--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -71,6 +71,10 @@
     CALL_END = 38
     # versions that get no calls until they are ordered again
     WITHDRAWN = 39
+    # when the receiver's operator state was last known to be the newest, and the response; sent
+    # only where keys of client accounts are revoked in bounded time
+    FRESHNESS_QUERY = 42
+    FRESHNESS = 43
 
 
 class Frame(NamedTuple):
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -19,6 +19,7 @@
     "Limits",
     "Load",
     "NodeRecord",
+    "OperatorReading",
     "OperatorState",
     "Order",
     "Phase",
@@ -154,6 +155,17 @@
     orders: dict[str, Order]
     #: data centres whose upstreams are to get no requests, in alphabetical order
     evacuated: tuple[str, ...] = ()
+    #: the newest configuration could not be read, so that ``config`` is an earlier one; recorded
+    #: only if that has client accounts
+    config_outdated: bool = False
+
+
+class OperatorReading(NamedTuple):
+    """What a read of the operator's records returned."""
+
+    state: OperatorState
+    #: the store held no record beyond the state's offset when it responded
+    confirmed: bool
 
 
 class UpstreamState(StrEnum):
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -14,6 +14,7 @@
 from balsamhead.mesh._crash_exchange import CrashExchange
 from balsamhead.mesh._crash_registry import CrashRegistry
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header
+from balsamhead.mesh._freshness_exchange import FreshnessExchange
 from balsamhead.mesh._internal_endpoints import DEFAULT_LIMITS, InternalEndpoints
 from balsamhead.mesh._link_manager import LinkManager, PeerEventHandler
 from balsamhead.mesh._metrics import MeshMetrics
@@ -37,10 +38,11 @@
 from balsamhead.platform.headers import drop_account_headers, get_dropped_request_headers
 from balsamhead.platform.records import PlatformRecords
 from balsamhead.platform.store import StoreClient
+from balsamhead.util.boot_clock import read_boot_time
 from balsamhead.util.positions import get_era, get_offset
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Coroutine
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from balsamhead.mesh._calls import BodyRest, Call, Outcome
     from balsamhead.mesh._link import Link
@@ -91,7 +93,12 @@
         records: PlatformRecords,
         store: StoreClient,
         rng: random.Random | None = None,
+        read_boot_time: Callable[[], float] = read_boot_time,
     ) -> None:
+        """Create a node that doesn't run yet.
+
+        :param read_boot_time: returns a clock that runs on while the process is paused, in s.
+        """
         self._cfg = cfg
         self._records = records
         self._store = store
@@ -137,6 +144,13 @@
             cfg, link_manager=self._link_manager, local=self._local_upstream, rng=rng
         )
         self._local_upstream.crash_guard.is_trial_node = upstream_index.is_trial_node
+        self._freshness = FreshnessExchange(
+            lease_s=cfg.key_lease,
+            link_manager=self._link_manager,
+            list_sources=lambda: self._sync.list_freshness_sources(),
+            read_boot_time=read_boot_time,
+            rng=rng,
+        )
         self._caller_side = RequestRouter(
             cfg,
             link_manager=self._link_manager,
@@ -147,6 +161,7 @@
             crash_registry=self._crash_registry,
             metrics=self._metrics,
             rng=rng,
+            is_config_fresh=self._freshness.is_fresh,
         )
         self._rollouts = RolloutExchange(
             self._own_record,
@@ -165,6 +180,8 @@
             traffic_split=self._traffic_split,
             on_change=self._apply_state,
             rng=rng,
+            read_boot_time=read_boot_time,
+            on_proof=self._freshness.add_read_proof,
         )
         self._caller_server = HttpServer(
             self._caller_side.handle,
@@ -304,6 +321,7 @@
             self._caller_side.set_config(state.config)
             accounts = state.config.accounts is not None
             self._caller_server.set_dropped_headers(get_dropped_request_headers(accounts=accounts))
+        self._freshness.set_state(state)
         if -1 < self._registered_era < get_era(state.offset):
             self._registered_era = -1
             self._spawn(self._register_again())
@@ -315,6 +333,7 @@
         # schedule the next run first, so that an exception here does not end the series
         self._timers[:] = [self._loop.call_later(_TICK_INTERVAL_S, self._tick)]
         self._sync.pull_if_behind()
+        self._freshness.update()
         if self._describe_upstream() != self._announced_upstream:
             self._upstream_changed()
         self._rollouts.report_evidence()
@@ -394,6 +413,7 @@
             link.send(FrameKind.UPSTREAM_RECALL, 0, peer.notice)
         self._crash_exchange.send_known(link)
         self._sync.peer_linked(link)
+        self._freshness.peer_linked(link)
         self._rollouts.send_withdrawn(link)
 
     def peer_state_received(self, peer: Peer, link: Link) -> None:
@@ -413,6 +433,10 @@
                 self._sync.handle_delta(peer, link, frame)
             case FrameKind.CONFIG_PULL:
                 self._sync.send_delta(link, decode_header(frame, tuple[int], peer=link.peer)[0])
+            case FrameKind.FRESHNESS_QUERY:
+                self._freshness.handle_query(link, frame)
+            case FrameKind.FRESHNESS:
+                self._freshness.handle_response(link, frame)
             case FrameKind.STORE_NEAR:
                 self._sync.handle_store_near(peer, frame)
             case FrameKind.ROLLOUT:
@@ -459,6 +483,7 @@
         register_gauge = self._metrics.register_gauge
         register_gauge("config_offset", lambda: {"": get_offset(self._sync.offset)})
         register_gauge("store_era", lambda: {"": self._store.era})
+        register_gauge("key_proof_age_seconds", self._freshness.read_gauge)
         register_gauge("requests_running", lambda: {"": self._local_upstream.running})
         register_gauge("requests_waiting", lambda: {"": self._local_upstream.get_load().waiting})
         register_gauge("requests_suspected", lambda: {"": len(self._crash_registry)})
--- a/balsamhead/mesh/_reader_selection.py
+++ b/balsamhead/mesh/_reader_selection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING, Final
 
 from balsamhead.mesh._peers import hash_name
@@ -21,6 +22,9 @@
 #: round trip up to which a node counts as near the store, in s; less than that of a border between
 #: regions
 _MAX_NEAR_ROUND_TRIP_S: Final = 0.012
+#: number of nodes that ask the readers when the operator's state was last known to be the newest,
+#: and are asked by all others; about the square root of the largest mesh
+_MAX_SOURCES: Final = 64
 
 
 def is_store_near(round_trip_s: float) -> bool:
@@ -64,6 +68,21 @@
             for peer in peers
         )
 
+    def list_sources(self, peers: Collection[Peer], *, store_near: bool) -> list[Peer]:
+        """Return the peers to ask when this node's state was last known to be the newest.
+
+        The first nodes in the order ask the readers, and all others ask one of these first nodes.
+        The load of each node is thus bounded in a large mesh.
+        """
+        first = heapq.nsmallest(
+            _MAX_SOURCES,
+            (peer for peer in peers if not peer.store_failed),
+            key=lambda peer: _make_key(peer.record.name, peer.store_near),
+        )
+        if self.get_rank(peers, store_near=store_near) < _MAX_SOURCES:
+            return first[:_READER_COUNT]
+        return first
+
 
 def _make_key(name: str, store_near: bool) -> tuple[bool, bytes]:
     return not store_near, hash_name("readers", name)
--- a/balsamhead/mesh/_records.py
+++ b/balsamhead/mesh/_records.py
@@ -12,6 +12,7 @@
         Departure,
         Directory,
         NodeRecord,
+        OperatorReading,
         OperatorState,
         Refusal,
         Rollout,
@@ -93,7 +94,7 @@
     def round_trip_s(self) -> float:
         """Return the round trip to the store, in s; infinite before the first call."""
 
-    async def read_operator_state(self, known: OperatorState, *, wait_s: float) -> OperatorState:
+    async def read_operator_state(self, known: OperatorState, *, wait_s: float) -> OperatorReading:
         """Wait up to ``wait_s`` seconds for newer records, and return the newest state.
 
         :raises LogError: the store gave no valid response.
--- a/balsamhead/mesh/_state_history.py
+++ b/balsamhead/mesh/_state_history.py
@@ -63,6 +63,8 @@
     accounts: AccountsDelta | None = None
     #: all services whose upstreams have a cold phase
     cold_starts: dict[str, ColdStart] | None = None
+    #: the newest configuration could not be read
+    config_outdated: bool = False
 
 
 #: position of the changed routes in an encoded delta
@@ -144,7 +146,11 @@
             raise MalformedMessageError(
                 "state delta has a route to an unknown service", step="apply-change"
             )
-        return self.add(OperatorState(delta.offset, config, delta.orders, delta.evacuated))
+        return self.add(
+            OperatorState(
+                delta.offset, config, delta.orders, delta.evacuated, delta.config_outdated
+            )
+        )
 
 
 def encode_delta(delta: StateDelta) -> bytes:
@@ -198,6 +204,7 @@
         evacuated=state.evacuated,
         accounts=_compute_accounts_delta(base_config.accounts, config.accounts),
         cold_starts=config.cold_starts,
+        config_outdated=state.config_outdated,
     )
 
 
--- a/balsamhead/mesh/_sync.py
+++ b/balsamhead/mesh/_sync.py
@@ -14,7 +14,9 @@
 from balsamhead.mesh._reader_selection import ReaderSelection, count_failed, is_store_near
 from balsamhead.mesh._state_history import StateHistory, decode_delta, encode_delta
 from balsamhead.mesh._state_pull import StatePull
+from balsamhead.mesh.freshness import Proof
 from balsamhead.mesh.model import OperatorState, Phase
+from balsamhead.util.boot_clock import read_boot_time
 from balsamhead.util.positions import get_era, get_offset
 
 if TYPE_CHECKING:
@@ -25,7 +27,7 @@
     from balsamhead.mesh._link_manager import LinkManager
     from balsamhead.mesh._records import RecordStore
     from balsamhead.mesh._traffic_split import TrafficSplit
-    from balsamhead.mesh.model import NodeRecord
+    from balsamhead.mesh.model import NodeRecord, OperatorReading
 
 __all__ = ("STORE_RETRY_DELAY_S", "OperatorSync")
 
@@ -75,7 +77,15 @@
         traffic_split: TrafficSplit,
         on_change: Callable[[OperatorState], None],
         rng: random.Random,
+        read_boot_time: Callable[[], float] = read_boot_time,
+        on_proof: Callable[[Proof], None] = lambda proof: None,
     ) -> None:
+        """Create a synchronization that hasn't begun.
+
+        :param on_proof: called when a read has shown up to which position the store held records.
+        """
+        self._read_boot_time = read_boot_time
+        self._on_proof = on_proof
         self._readers = ReaderSelection(own_record.name)
         self._records = records
         self._link_manager = link_manager
@@ -105,6 +115,10 @@
         """Return whether this node reads from the store."""
         return self._readers.is_reader(self._list_peers(), store_near=self._is_store_near())
 
+    def list_freshness_sources(self) -> list[Peer]:
+        """Return the peers to ask when this node's state was last known to be the newest."""
+        return self._readers.list_sources(self._list_peers(), store_near=self._is_store_near())
+
     def _list_peers(self) -> list[Peer]:
         return [peer for peer in self._link_manager.list_live() if not peer.stopping]
 
@@ -224,18 +238,23 @@
         )
 
     async def _read(self, wait_s: float) -> OperatorState:
+        sent_at = self._read_boot_time()
         read = self._records.read_operator_state(self.state, wait_s=wait_s)
         if wait_s > 0.0 and self._loop.time() >= self._hedge_allowed_at:
-            state = await send_hedged(read, self._read_again, delay_s=wait_s + _OVERDUE_S)
+            reading = await send_hedged(read, self._read_again, delay_s=wait_s + _OVERDUE_S)
         else:
-            state = await read
+            reading = await read
+        state = reading.state
+        if reading.confirmed:
+            # the response may be that to a request which was sent later
+            self._on_proof(Proof(state.offset, sent_at))
         if state.orders and not self._traffic_split.rollouts:
             for rollout in await self._records.read_rollouts():
                 if rollout.phase is not Phase.RUNNING:
                     self._traffic_split.apply_state(rollout)
         return state
 
-    async def _read_again(self) -> OperatorState:
+    async def _read_again(self) -> OperatorReading:
         self._hedge_allowed_at = self._loop.time() + _HEDGE_INTERVAL_S
         return await self._records.read_operator_state(self.state, wait_s=0.0)
 
--- a/balsamhead/platform/records.py
+++ b/balsamhead/platform/records.py
@@ -19,6 +19,7 @@
     Departure,
     Directory,
     NodeRecord,
+    OperatorReading,
     OperatorState,
     Order,
     Phase,
@@ -81,8 +82,8 @@
         """Return the round trip to the store, in s; infinite before the first call."""
         return self._store.round_trip_s
 
-    async def read_operator_state(self, known: OperatorState, *, wait_s: float) -> OperatorState:
-        """Return the operator's state, waiting for a change from the known state.
+    async def read_operator_state(self, known: OperatorState, *, wait_s: float) -> OperatorReading:
+        """Read the operator's state, waiting for a change from the known state.
 
         Without a change, the known state is returned. If its offset is negative, the current
         state is read without waiting.
@@ -100,13 +101,15 @@
         if batch.era != get_era(known.offset):
             # the offsets of another era say nothing about the known state
             return await self._read_newest_state(known)
+        end = batch.records[-1].offset + 1 if batch.records else start
+        # A response may hold a part of the records only, or come from a store that lacks some.
+        confirmed = batch.end == end
         if not batch.records:
-            return known
-        return _apply_records(
-            known, batch.records, known.offset - start + batch.records[-1].offset + 1
-        )
+            return OperatorReading(known, confirmed)
+        state = _apply_records(known, batch.records, known.offset - start + end)
+        return OperatorReading(state, confirmed)
 
-    async def _read_newest_state(self, known: OperatorState) -> OperatorState:
+    async def _read_newest_state(self, known: OperatorState) -> OperatorReading:
         newest = await self._store.read_newest(_OPERATOR_TOPIC)
         known_era = get_era(known.offset)
         if newest.era == known_era:
@@ -118,7 +121,7 @@
                 "store-state-ignored",
                 extra={"era": newest.era, "end": newest.end, "known_offset": known.offset},
             )
-            return known
+            return OperatorReading(known, confirmed=False)
         if known_era not in (-1, newest.era):
             logger.warning(
                 "store-restored",
@@ -130,7 +133,8 @@
                 },
             )
         # A record that was removed isn't listed, so the evacuations listed are all there are.
-        return _apply_records(known._replace(evacuated=()), newest.records, position)
+        state = _apply_records(known._replace(evacuated=()), newest.records, position)
+        return OperatorReading(state, confirmed=True)
 
     async def write_node(self, record: NodeRecord) -> None:
         """Write a node's record.
@@ -262,7 +266,7 @@
     """
     base = position - get_offset(position)
     config, orders, evacuated = known.config, dict(known.orders), set(known.evacuated)
-    newest = None
+    newest, outdated = None, known.config_outdated
     for record in sorted(records, key=lambda record: record.offset):
         if record.key.startswith(EVACUATION_KEY_PREFIX):
             data_centre = record.key.removeprefix(EVACUATION_KEY_PREFIX)
@@ -272,7 +276,9 @@
             continue
         try:
             if record.key == CONFIG_KEY:
+                outdated = config is not None and config.accounts is not None
                 newest = decode_config(record.value)
+                outdated = False
             elif record.key.startswith(ROLLOUT_KEY_PREFIX):
                 order: Order = decode_order(record.value, offset=base + record.offset)
                 if order.offset > orders.get(order.service, order._replace(offset=-1)).offset:
@@ -284,7 +290,7 @@
     if newest is not None and (config is None or newest.version >= config.version):
         config = newest
         _log_unreadable(config)
-    return OperatorState(position, config, orders, tuple(sorted(evacuated)))
+    return OperatorState(position, config, orders, tuple(sorted(evacuated)), outdated)
 
 
 def _log_unreadable(config: Config) -> None:
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -61,7 +61,7 @@
     ("_crash_guard", "_reader_selection", "_caller_crash_view", "_lost_peers"),
     ("_upstream",),
     ("_link_manager", "_evidence", "_state_pull", "_internal_endpoints"),
-    ("_upstream_index", "_rollouts", "_sync"),
+    ("_upstream_index", "_rollouts", "_sync", "_freshness_exchange"),
     ("_upstream_selector",),
     ("_request_router", "_rollout_exchange", "_crash_exchange"),
     ("_node",),
--- a/tests/test_mesh/builders.py
+++ b/tests/test_mesh/builders.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -239,6 +239,8 @@
     def __init__(self) -> None:
         self.store = PlatformStore()
         self.members: dict[int, Member] = {}
+        #: time by which the boot-time clock of a node is ahead of the loop's clock, in s, by name
+        self.paused_s: defaultdict[str, float] = defaultdict(float)
         self.network = asyncio.get_running_loop().network  # type: ignore[attr-defined]
 
     async def start(self, *settings: MeshSettings, config: dict[str, Any] | None = None) -> None:
@@ -254,8 +256,13 @@
     ) -> Member:
         CURRENT_HOST.set(cfg.peer_address.split(":")[0])
         store = StoreClient(cfg.store_address)
+        loop = asyncio.get_running_loop()
         node = MeshNode(
-            cfg, records=PlatformRecords(store), store=store, rng=random.Random(cfg.node)
+            cfg,
+            records=PlatformRecords(store),
+            store=store,
+            rng=random.Random(cfg.node),
+            read_boot_time=lambda: loop.time() + self.paused_s[cfg.node],
         )
         task = asyncio.get_running_loop().create_task(node.run())
         if upstream is None:
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -51,14 +51,14 @@
     async def main() -> None:
         store, _, records = await start_store()
         store.put("keyed.op", "config", make_config(1))
-        state = await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)
+        state = (await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)).state
         assert state.config is not None
         assert (state.config.version, state.offset) == (1, 1)
         read = asyncio.ensure_future(records.read_operator_state(state, wait_s=20.0))
         await asyncio.sleep(5.0)
         assert not read.done()
         store.put("keyed.op", "config", make_config(4))
-        state = await read
+        state = (await read).state
         assert state.config is not None
         assert (state.config.version, state.offset) == (4, 2)
 
@@ -69,11 +69,11 @@
     async def main() -> None:
         store, _, records = await start_store()
         store.put("keyed.op", "config", make_config(1))
-        state = await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)
+        state = (await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)).state
         for version in (2, 3):
             store.put("keyed.op", "config", make_config(version))
         store.compact("keyed.op")
-        state = await records.read_operator_state(state, wait_s=1.0)
+        state = (await records.read_operator_state(state, wait_s=1.0)).state
         assert state.config is not None
         assert (state.config.version, state.offset) == (3, 3)
 
@@ -84,10 +84,10 @@
     async def main() -> None:
         store, _, records = await start_store()
         store.put("keyed.op", "config", make_config(1))
-        state = await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)
+        state = (await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)).state
         store.put("keyed.op", "config", b"{cut")
         store.put("keyed.op", "rollout/desk", b"\xff")
-        after = await records.read_operator_state(state, wait_s=1.0)
+        after = (await records.read_operator_state(state, wait_s=1.0)).state
         assert after.config == state.config
         assert after.orders == {}
         assert after.offset == 3
@@ -100,13 +100,13 @@
         store, _, records = await start_store()
         store.put("keyed.op", "config", make_config(1))
         store.put("keyed.op", "evacuate/east-b", {})
-        state = await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)
+        state = (await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)).state
         assert state.evacuated == ("east-b",)
         store.put("keyed.op", "evacuate/east-a", {})
-        state = await records.read_operator_state(state, wait_s=1.0)
+        state = (await records.read_operator_state(state, wait_s=1.0)).state
         assert state.evacuated == ("east-a", "east-b")
         store.put("keyed.op", "evacuate/east-b", b"")
-        state = await records.read_operator_state(state, wait_s=1.0)
+        state = (await records.read_operator_state(state, wait_s=1.0)).state
         assert state.evacuated == ("east-a",)
 
     run_virtual(main)
@@ -118,10 +118,10 @@
         store, _, records = await start_store()
         store.put("keyed.op", "config", make_config(1))
         store.put("keyed.op", "evacuate/east-b", {})
-        state = await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)
+        state = (await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)).state
         store.put("keyed.op", "evacuate/east-b", b"")
         store.compact("keyed.op")
-        state = await records.read_operator_state(state, wait_s=1.0)
+        state = (await records.read_operator_state(state, wait_s=1.0)).state
         assert state.evacuated == ()
 
     run_virtual(main)
@@ -133,7 +133,7 @@
         store.put("keyed.op", "config", make_config(1))
         row = {"service": "desk", "target_version": "v2", "duration": "12s"}
         store.put("keyed.op", "rollout/desk", row)
-        state = await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)
+        state = (await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)).state
         assert state.orders["desk"].offset == 1
 
     run_virtual(main)
@@ -308,3 +308,43 @@
         assert [row.phase for row in await other.read_rollouts()] == [Phase.ROLLED_BACK]
 
     run_virtual(main)
+
+
+# A response that lacks records says nothing about whether the state is the newest.
+def test_state_is_confirmed_only_by_a_response_that_reaches_to_the_end() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        store.put("keyed.op", "config", make_config(1))
+        reading = await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)
+        assert reading.confirmed
+        store.put("keyed.op", "config", make_config(2))
+        reading = await records.read_operator_state(reading.state, wait_s=0.0)
+        assert (reading.confirmed, reading.state.offset) == (True, 2)
+        again = await records.read_operator_state(reading.state, wait_s=0.0)
+        assert again.confirmed
+        store.faults.hidden_records = 1
+        older = await records.read_operator_state(reading.state, wait_s=0.0)
+        assert (older.confirmed, older.state) == (False, reading.state)
+
+    run_virtual(main)
+
+
+def test_configuration_that_can_not_be_read_outdates_one_with_accounts() -> None:
+    async def main() -> None:
+        store, _, records = await start_store()
+        for tenants, outdated in (({}, True), (None, False)):
+            config = make_config(1) | ({} if tenants is None else {"tenants": tenants})
+            store.put("keyed.op", "config", config)
+            state = (await records.read_operator_state(UNKNOWN_STATE, wait_s=0.0)).state
+            assert not state.config_outdated
+            store.put("keyed.op", "config", b"{cut")
+            state = (await records.read_operator_state(state, wait_s=0.0)).state
+            assert state.config_outdated is outdated
+            store.put("keyed.op", "evacuate/east-a", {})
+            state = (await records.read_operator_state(state, wait_s=0.0)).state
+            assert state.config_outdated is outdated
+            store.put("keyed.op", "config", config)
+            state = (await records.read_operator_state(state, wait_s=0.0)).state
+            assert not state.config_outdated
+
+    run_virtual(main)
--- a/tests/test_wire/builders.py
+++ b/tests/test_wire/builders.py
@@ -14,7 +14,7 @@
 _ADDED_FIELDS = {
     "Call": {"account", "nested"},
     "Route": {"allowed_regions", "public", "served", "large_requests"},
-    "StateDelta": {"evacuated", "accounts", "cold_starts"},
+    "StateDelta": {"evacuated", "accounts", "cold_starts", "config_outdated"},
 }
 
 _UNION = (typing.Union, types.UnionType)
--- a/tests/test_wire/test_encodings.py
+++ b/tests/test_wire/test_encodings.py
@@ -23,6 +23,7 @@
 from balsamhead.log import _model as log_rows
 from balsamhead.mesh import (
     _frames,
+    _freshness_exchange,
     _link_headers,
     _peers,
     _rollout_exchange,
@@ -121,6 +122,11 @@
     "frame/call-credit": (_frames.FrameKind.CALL_CREDIT, None),
     "frame/call-end": (_frames.FrameKind.CALL_END, None),
     "frame/withdrawn": (_frames.FrameKind.WITHDRAWN, _rollout_exchange._WithdrawnHeader),
+    "frame/freshness-query": (
+        _frames.FrameKind.FRESHNESS_QUERY,
+        _freshness_exchange._QueryHeader,
+    ),
+    "frame/freshness": (_frames.FrameKind.FRESHNESS, _freshness_exchange._ResponseHeader),
     "frame/config": (_frames.FrameKind.CONFIG, None),
     "frame/config-pull": (_frames.FrameKind.CONFIG_PULL, tuple[int]),
     "frame/rollout": (_frames.FrameKind.ROLLOUT, _rollout_exchange._RolloutHeader),
@@ -243,6 +249,7 @@
         evacuated=("east-a",),
         accounts=_state_history.AccountsDelta({"acme": account}, ("gone",)),
         cold_starts={"desk": mesh_rows.ColdStart(3.0, 5.5)},
+        config_outdated=True,
     )
     data = _state_history.encode_delta(delta)
     assert _state_history.decode_delta(data, peer="test") == delta
