--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -442,6 +442,7 @@
                     "tried": trace.attempted_nodes,
                     "attempts": trace.describe_attempts(),
                     "took_ms": round((self._loop.time() - request.received_at) * 1000, 1),
+                    **trace.describe_account(),
                 },
             )
         return Reply(
--- a/tests/test_mesh/test_accounts.py
+++ b/tests/test_mesh/test_accounts.py
@@ -25,6 +25,7 @@
     NODE_3,
     InMemoryCluster,
     RequestSender,
+    make_call,
     make_config,
     run_virtual,
     start_cluster,
@@ -186,6 +187,20 @@
     run_virtual(main)
 
 
+# Nodes of the release before, and those that lag behind, don't know of accounts.
+def test_call_without_an_account_from_a_peer_reaches_the_upstream_without_a_key() -> None:
+    async def main() -> None:
+        cluster, _ = await start()
+        headers = b"Host: a\r\nRequest-Id: p1\r\nKey: k\r\ntenant: basil\r\nX-Key: 1\r\n"
+        call = make_call(b"p1", headers=headers)
+        await cluster.members[1].node.run_call(call, b"", None)
+        values = get_headers(cluster)
+        assert not {b"key", b"tenant"} & values.keys()
+        assert values[b"x-key"] == [b"1"]
+
+    run_virtual(main)
+
+
 def test_key_that_two_accounts_hold_gets_401_and_is_logged_once(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
--- a/tests/test_mesh/test_freshness.py
+++ b/tests/test_mesh/test_freshness.py
@@ -11,6 +11,7 @@
 import pytest
 
 from balsamhead.mesh._frames import FrameKind
+from balsamhead.mesh._freshness_exchange import FreshnessExchange
 from balsamhead.mesh._link import Link
 from standin.virtual_network import CURRENT_HOST
 from tests.test_mesh.account_builders import (
@@ -308,6 +309,20 @@
     assert names == ["freshness-regained", "freshness-lost", "freshness-regained"]
 
 
+# A peer of the release before rejects each query, for as long as the node runs.
+def test_queries_without_a_response_are_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        cluster, _ = await start(3)
+        cluster.store.faults.silent = True
+        for _ in range(60):
+            await asyncio.sleep(1.0)
+            for member in cluster.members.values():
+                assert len(member.node._freshness._queries) <= 4 * LEASE_S / 0.4
+
+    monkeypatch.setattr(FreshnessExchange, "handle_query", lambda *_: None)
+    run_virtual(main)
+
+
 # Slow answers make proofs old, since they count from when the request was sent.
 @pytest.mark.parametrize("delay_s", [0.3, 0.6, 1.2])
 def test_keys_are_accepted_while_the_store_is_slow(delay_s: float) -> None:
--- a/tests/test_mesh/test_server.py
+++ b/tests/test_mesh/test_server.py
@@ -202,3 +202,21 @@
         assert (await read_response(reader, "GET")).status == 200
 
     run_virtual(main)
+
+
+def test_changed_set_of_dropped_headers_holds_for_the_next_request_of_a_connection() -> None:
+    async def main() -> None:
+        fixture = ServerFixture()
+        reader, writer = await fixture.open()
+        for names, forwarded in (
+            (frozenset[bytes](), b"Host: a\r\nKey: k\r\n"),
+            (frozenset((b"key",)), b"Host: a\r\n"),
+        ):
+            fixture.server.set_dropped_headers(names)
+            writer.write(b"GET /a HTTP/1.1\r\nHost: a\r\nKey: k\r\n\r\n")
+            await read_response(reader, "GET")
+            request = fixture.requests[-1]
+            assert request.head.forwarded == forwarded
+            assert request.excluded_headers == names
+
+    run_virtual(main)
