--- a/tests/test_mesh/test_accounts.py
+++ b/tests/test_mesh/test_accounts.py
@@ -154,6 +154,8 @@
 
         cluster.store.put("keyed.op", "config", make_account_config(2))
         await asyncio.sleep(1.0)
+        dropped = cluster.members[1].node._caller_server._context.dropped_headers
+        assert {b"key", b"tenant"} <= dropped
         assert await send_again("") == 401
         assert await send_again(make_key_header()) == 200
         assert b"key" not in get_headers(cluster)
--- a/tests/test_mesh/test_freshness.py
+++ b/tests/test_mesh/test_freshness.py
@@ -13,6 +13,7 @@
 from balsamhead.mesh._frames import FrameKind
 from balsamhead.mesh._freshness_exchange import FreshnessExchange
 from balsamhead.mesh._link import Link
+from balsamhead.mesh.freshness import Proof
 from standin.virtual_network import CURRENT_HOST
 from tests.test_mesh.account_builders import (
     KEY,
@@ -32,6 +33,8 @@
 from tests.test_mesh.cut_builders import STORE_HOST
 
 LEASE_S = 5.0
+#: how long the store waits for new records before it responds, in s
+LONG_POLL_S = 0.8
 LEASED = [make_settings(number)._replace(key_lease=LEASE_S) for number in range(1, 6)]
 #: host of the callers, which no cut concerns
 CALLER_HOST = "10.8.0.1"
@@ -323,6 +326,43 @@
     run_virtual(main)
 
 
+# A key may be revoked between the store's response and its arrival, or while a request to the store
+# is on its way; a second request that repeats an overdue one proves no more than the first.
+@pytest.mark.parametrize(
+    ("delay_s", "silent_s", "shortest_s"),
+    [(0.0, 0.0, LONG_POLL_S), (0.7, 0.0, LONG_POLL_S + 0.7), (0.0, 0.9, LONG_POLL_S + 0.3)],
+    ids=["plain", "response late", "request repeated"],
+)
+def test_read_proves_freshness_as_of_when_its_first_request_was_sent(
+    delay_s: float, silent_s: float, shortest_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    proofs: list[tuple[float, float]] = []
+    add = FreshnessExchange.add_read_proof
+
+    def record(self: FreshnessExchange, proof: Proof) -> None:
+        proofs.append((proof.as_of, asyncio.get_running_loop().time()))
+        add(self, proof)
+
+    async def main() -> None:
+        cluster, _ = await start(1)
+        cluster.network.get_delay = lambda host, _: delay_s if host == STORE_HOST else 0.001
+        await asyncio.sleep(2.0)
+        count = len(cluster.store.read_times)
+        while len(cluster.store.read_times) == count:
+            await asyncio.sleep(0.01)
+        cluster.store.faults.silent = silent_s > 0.0
+        await asyncio.sleep(silent_s)
+        cluster.store.faults.silent = False
+        begun_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(3.0)
+        ages = [now - as_of for as_of, now in proofs if now > begun_at]
+        assert ages[0] >= shortest_s
+        assert min(ages) >= LONG_POLL_S + delay_s
+
+    monkeypatch.setattr(FreshnessExchange, "add_read_proof", record)
+    run_virtual(main)
+
+
 # Slow answers make proofs old, since they count from when the request was sent.
 @pytest.mark.parametrize("delay_s", [0.3, 0.6, 1.2])
 def test_keys_are_accepted_while_the_store_is_slow(delay_s: float) -> None:
