Admit requests of client accounts within quotas that hold over all nodes

Cause: an account's rate_per_s and burst were decoded and had no effect. Change: the first live node by rendezvous hashing owns an account, holds its token bucket and grants tokens for 0.4 s; other nodes ask it for the tokens that waiting requests and their expected demand need (frames 44 and 45). A node without an account to limit sends nothing.

--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -71,6 +71,9 @@
     CALL_END = 38
     # versions that get no calls until they are ordered again
     WITHDRAWN = 39
+    # tokens of an account's quota, requested from its owner
+    QUOTA_REQUEST = 44
+    QUOTA_GRANT = 45
 
 
 class Frame(NamedTuple):
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -18,6 +18,7 @@
 from balsamhead.mesh._link_manager import LinkManager, PeerEventHandler
 from balsamhead.mesh._metrics import MeshMetrics
 from balsamhead.mesh._peers import Heartbeat, Hello, Peer, UpstreamView
+from balsamhead.mesh._quota_exchange import QuotaExchange
 from balsamhead.mesh._refusal_archive import RefusalArchive
 from balsamhead.mesh._request_router import RequestRouter
 from balsamhead.mesh._rollout_exchange import RolloutExchange
@@ -137,8 +138,17 @@
             cfg, link_manager=self._link_manager, local=self._local_upstream, rng=rng
         )
         self._local_upstream.crash_guard.is_trial_node = upstream_index.is_trial_node
+        self._quotas = QuotaExchange(
+            cfg.node,
+            link_manager=self._link_manager,
+            metrics=self._metrics,
+            rng=rng,
+            get_config=lambda: self._sync.state.config,
+            is_ready=lambda: self._registered_once and self._has_joined(),
+        )
         self._caller_side = RequestRouter(
             cfg,
+            quotas=self._quotas,
             link_manager=self._link_manager,
             local=self._local_upstream,
             budget=self._budget,
@@ -189,6 +199,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         #: era of the store in which this node is registered; -1 while it is being registered
         self._registered_era = -1
+        #: the records of all nodes have been read since the start
+        self._registered_once = False
         self._started_at = self._loop.time()
         self._joined = False
         self._slot_usage_due_at = 0.0
@@ -292,6 +304,7 @@
         self._rollouts.restore_withdrawn(directory.withdrawn)
         self._links_deadline = self._loop.time() + _READY_LINK_TIMEOUT_S
         self._registered_era = written_era
+        self._registered_once = True
         logger.info("nodes-loaded", extra={"nodes": len(directory.nodes), "era": written_era})
 
     async def _register_again(self) -> None:
@@ -318,6 +331,7 @@
         self._rollouts.report_evidence()
         self._rollouts.advance(self._sync.state.orders.values())
         self._crash_registry.expire(self._loop.time())
+        self._quotas.update()
         if self._loop.time() >= self._slot_usage_due_at:
             self._slot_usage_due_at = self._loop.time() + _SLOT_USAGE_INTERVAL_S
             self._local_upstream.log_slot_usage()
@@ -419,6 +433,10 @@
                 self._crash_exchange.handle_crashes(link, frame)
             case FrameKind.CRASHES_CLEARED:
                 self._crash_exchange.handle_cleared(link, frame)
+            case FrameKind.QUOTA_REQUEST:
+                self._quotas.handle_request(peer, link, frame)
+            case FrameKind.QUOTA_GRANT:
+                self._quotas.handle_grant(peer, link, frame)
             case FrameKind.UPSTREAM_RECALL:
                 notice = decode_header(frame, UpstreamNotice, peer=link.peer)
                 self._local_upstream.recall_notice(notice)
--- /dev/null
+++ b/balsamhead/mesh/_quota_exchange.py
@@ -0,0 +1,426 @@
+"""Admit requests of accounts within their quotas; request and grant tokens over the links."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from balsamhead.mesh._frames import Frame, FrameKind, decode_header
+from balsamhead.mesh._peers import hash_name
+from balsamhead.mesh.quotas import Grant, QuotaOwner, QuotaShare, compute_share
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from balsamhead.mesh._link import Link
+    from balsamhead.mesh._link_manager import LinkManager
+    from balsamhead.mesh._metrics import MeshMetrics
+    from balsamhead.mesh._peers import Peer
+    from balsamhead.mesh.model import Account, Config
+
+__all__ = ("QuotaExchange", "QuotaGrant", "QuotaRefusal", "QuotaRequest", "QuotaToken")
+
+logger = logging.getLogger(__name__)
+
+#: how long an owner's answer is waited for, in s
+_ANSWER_TIMEOUT_S: Final = 0.15
+#: how long a request waits for a token that its owner has announced, in s
+_MAX_WAIT_S: Final = 0.25
+#: how long an owner that hasn't answered is asked nothing, in s
+_SILENT_OWNER_S: Final = 0.5
+#: how long after a late answer an owner counts as reachable though it answers late, in s
+_SLOW_OWNER_S: Final = 5.0
+#: time until a node that doesn't consider itself the owner is asked again, in s
+_OTHER_OWNER_RETRY_S: Final = 0.05
+#: number of times that one request asks for tokens
+_MAX_ATTEMPTS: Final = 4
+#: how long the set of live nodes is kept, in s
+_MEMBERS_AGE_S: Final = 0.2
+#: how long a known node that this node has never reached counts, in s; a node that was removed for
+#: good leaves its record in the store
+_UNREACHED_S: Final = 60.0
+#: Retry-After of a request that no owner could decide on, in s
+_UNDECIDED_RETRY_S: Final = 0.5
+#: least Retry-After, in s
+_MIN_RETRY_S: Final = 0.01
+#: least interval between two lines about refusals of one account, in s
+_LOG_INTERVAL_S: Final = 1.0
+_CLEANING_INTERVAL_S: Final = 2.0
+
+
+class QuotaRequest(NamedTuple):
+    """Request for tokens of an account."""
+
+    account: str
+    #: number that the answer repeats
+    number: int
+    tokens: int
+    #: tokens of earlier grants that expired without having been used
+    unused: int
+
+
+class QuotaGrant(NamedTuple):
+    """Answer to a request for tokens."""
+
+    account: str
+    number: int
+    tokens: int
+    #: time until the owner has a token, in s
+    next_s: float
+    #: time until there is room for the caller of a refused request, in s
+    retry_after_s: float
+    #: the sender owns the account
+    is_owner: bool
+
+
+class QuotaToken(NamedTuple):
+    """Permission to run one request of an account."""
+
+    account: str
+    #: until when it can be returned, in s of the loop's clock; 0 if it can't
+    expires_at: float
+
+
+class QuotaRefusal(NamedTuple):
+    """The account has used up its quota."""
+
+    retry_after_s: float
+
+
+#: token of a request without an account, or whose account has no limit
+_UNLIMITED: Final = QuotaToken("", 0.0)
+
+
+class _Answer(NamedTuple):
+    """What became of a request for tokens."""
+
+    #: the owner has decided; otherwise it could not be reached, or didn't answer in time
+    decided: bool
+    #: the node that was asked is not the owner in its own view
+    other_owner: bool = False
+
+
+class _Flight:
+    """Request for tokens whose answer is awaited."""
+
+    __slots__ = ("answer", "number", "owner", "timer")
+
+    def __init__(self, number: int, owner: str, timer: asyncio.TimerHandle) -> None:
+        self.number = number
+        self.owner = owner
+        self.timer = timer
+        self.answer: asyncio.Future[_Answer] = asyncio.get_running_loop().create_future()
+
+    def finish(self, answer: _Answer) -> None:
+        """Pass the answer to the requests that wait for it."""
+        self.timer.cancel()
+        if not self.answer.done():
+            self.answer.set_result(answer)
+
+
+class _Refusals:
+    """Refusals of one account since the last line about them."""
+
+    __slots__ = ("logged_at", "suppressed")
+
+    def __init__(self, now: float) -> None:
+        self.logged_at = now
+        self.suppressed = 0
+
+
+class QuotaExchange:
+    """Hold the tokens of this node, ask the owners of accounts for more, and grant as an owner.
+
+    :param is_ready: returns whether this node knows the nodes of the mesh and had time to reach
+        them; before, it neither grants tokens nor uses its static share.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        *,
+        link_manager: LinkManager,
+        metrics: MeshMetrics,
+        rng: random.Random,
+        get_config: Callable[[], Config | None],
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._own_name = own_name
+        self._link_manager = link_manager
+        self._metrics = metrics
+        self._get_config = get_config
+        self._is_ready = is_ready
+        self._loop = asyncio.get_running_loop()
+        self._started_at = self._loop.time()
+        self._owner = QuotaOwner()
+        self._share = QuotaShare(rng.random)
+        self._live: tuple[str, ...] = ()
+        self._known = 0
+        self._epoch = -1
+        self._members_at = float("-inf")
+        #: owner by account, as long as the same nodes are live
+        self._owners: dict[str, str] = {}
+        #: owner by account before the last change of the live nodes
+        self._former_owners: dict[str, str] = {}
+        self._flights: dict[str, _Flight] = {}
+        self._waiting: dict[str, int] = {}
+        #: until when an owner is asked nothing since it hasn't answered, by account
+        self._silent_until: dict[str, float] = {}
+        #: until when an owner counts as reachable though it answers late, by node
+        self._slow_until: dict[str, float] = {}
+        self._refusals: dict[str, _Refusals] = {}
+        self._clean_at = 0.0
+
+    # -- admission -------------------------------------------------------------------------
+
+    async def admit(
+        self, account: Account | None, now: float, deadline: float
+    ) -> QuotaToken | QuotaRefusal:
+        """Admit a request of an account, or refuse it; it may wait for a token.
+
+        :param deadline: in s of the loop's clock.
+        :raises TimeoutError: the deadline has passed.
+        """
+        if account is None or account.rate_per_s <= 0.0:
+            return _UNLIMITED
+        expires_at = self._share.admit(account.name, now)
+        if expires_at:
+            return QuotaToken(account.name, expires_at)
+        name = account.name
+        self._waiting[name] = self._waiting.get(name, 0) + 1
+        try:
+            async with asyncio.timeout_at(deadline):
+                result = await self._wait_for_token(account, now)
+        finally:
+            self._waiting[name] -= 1
+            if not self._waiting[name]:
+                del self._waiting[name]
+        if isinstance(result, QuotaRefusal):
+            self._record_refusal(account, result)
+        return result
+
+    def give_back(self, token: QuotaToken) -> None:
+        """Return the token of a request that reached no upstream, while it is valid."""
+        if token.expires_at:
+            self._share.give_back(token.account, token.expires_at, self._loop.time())
+
+    async def _wait_for_token(
+        self, account: Account, received_at: float
+    ) -> QuotaToken | QuotaRefusal:
+        name, wait_until = account.name, received_at + _MAX_WAIT_S
+        for _ in range(_MAX_ATTEMPTS):
+            now = self._loop.time()
+            blocked_s, retry_after_s = self._share.get_blocked_time(name, now)
+            if blocked_s:
+                if now + blocked_s > wait_until:
+                    return QuotaRefusal(max(_MIN_RETRY_S, retry_after_s))
+                await asyncio.sleep(blocked_s)
+                if expires_at := self._share.take(name, self._loop.time()):
+                    return QuotaToken(name, expires_at)
+            answer = await self._request_tokens(account)
+            now = self._loop.time()
+            if expires_at := self._share.take(name, now):
+                return QuotaToken(name, expires_at)
+            if answer.other_owner and now + _OTHER_OWNER_RETRY_S <= wait_until:
+                await asyncio.sleep(_OTHER_OWNER_RETRY_S)
+                continue
+            if not answer.decided:
+                return self._take_static(account, now)
+        blocked_s, retry_after_s = self._share.get_blocked_time(name, self._loop.time())
+        return QuotaRefusal(max(_MIN_RETRY_S, retry_after_s or _UNDECIDED_RETRY_S))
+
+    async def _request_tokens(self, account: Account) -> _Answer:
+        """Ask the owner for tokens, or join the request that is under way."""
+        flight = self._flights.get(account.name)
+        if flight is None:
+            owner = self._find_owner(account.name)
+            if owner == self._own_name:
+                return self._grant_to_itself(account)
+            sent = self._send_request(account.name, owner)
+            if sent is None:
+                return _Answer(decided=False)
+            flight = sent
+        return await asyncio.shield(flight.answer)
+
+    def _grant_to_itself(self, account: Account) -> _Answer:
+        if not self._is_ready():
+            return _Answer(decided=False, other_owner=True)
+        now, name = self._loop.time(), account.name
+        number, _, unused = self._share.record_sent(name, self._own_name, 1, now)
+        grant = self._owner.request(account, self._own_name, 1, now, unused=unused)
+        self._metrics.count("quota_tokens_granted", amount=grant.tokens)
+        self._share.record_grant(name, number, *grant, now)
+        return _Answer(decided=True)
+
+    def _send_request(self, name: str, owner: str) -> _Flight | None:
+        """Send a request for tokens; return None if the owner can't be reached."""
+        now = self._loop.time()
+        peer = self._link_manager.table.peers.get(owner)
+        link = None if peer is None else self._link_manager.get_link(peer)
+        if link is None or now < self._silent_until.get(name, 0.0):
+            return None
+        number, count, unused = self._share.record_sent(name, owner, self._waiting[name], now)
+        timer = self._loop.call_later(_ANSWER_TIMEOUT_S, self._handle_timeout, name)
+        flight = self._flights[name] = _Flight(number, owner, timer)
+        link.send(FrameKind.QUOTA_REQUEST, 0, QuotaRequest(name, number, count, unused))
+        self._metrics.count("quota_requests")
+        return flight
+
+    def _handle_timeout(self, name: str) -> None:
+        flight, now = self._flights.pop(name), self._loop.time()
+        slow = now < self._slow_until.get(flight.owner, 0.0)
+        if not slow:
+            self._silent_until[name] = now + _SILENT_OWNER_S
+        # an owner that answers late grants the account's whole rate, so that the static share would
+        # come on top of it
+        flight.finish(_Answer(decided=slow))
+
+    def _take_static(self, account: Account, now: float) -> QuotaToken | QuotaRefusal:
+        """Use this node's part of the rate, since no owner can be reached."""
+        if not self._is_ready() or not self._known:
+            return QuotaRefusal(_UNDECIDED_RETRY_S)
+        rate = account.rate_per_s / self._known
+        admitted, delay_s = self._share.take_static(account.name, rate, now)
+        if admitted:
+            self._metrics.count("quota_static")
+            return QuotaToken(account.name, 0.0)
+        return QuotaRefusal(max(_MIN_RETRY_S, min(delay_s, _UNDECIDED_RETRY_S)))
+
+    def _record_refusal(self, account: Account, refusal: QuotaRefusal) -> None:
+        self._metrics.count("quota_refused")
+        now, name = self._loop.time(), account.name
+        row = self._refusals.get(name)
+        if row is not None and now - row.logged_at < _LOG_INTERVAL_S:
+            row.suppressed += 1
+            return
+        logger.info(
+            "quota-exceeded",
+            extra={
+                "account": name,
+                "rate_per_s": account.rate_per_s,
+                "burst": account.burst,
+                "owner": self._owners.get(name, ""),
+                "retry_after_s": round(refusal.retry_after_s, 3),
+                "suppressed": 0 if row is None else row.suppressed,
+            },
+        )
+        self._refusals[name] = _Refusals(now)
+
+    # -- owners ----------------------------------------------------------------------------
+
+    def update(self) -> None:
+        """Notice changes of the live nodes, and drop what is idle; called at each tick."""
+        now = self._loop.time()
+        if len(self._owner):
+            self._update_members(now)
+        self._owner.record_running(now)
+        if now >= self._clean_at:
+            self._clean_at = now + _CLEANING_INTERVAL_S
+            self._owner.drop_idle(now)
+            self._share.drop_idle(now)
+            for until in (self._silent_until, self._slow_until):
+                for name in [name for name, at in until.items() if at <= now]:
+                    del until[name]
+            for name in [
+                name
+                for name, row in self._refusals.items()
+                if now - row.logged_at > _LOG_INTERVAL_S
+            ]:
+                if not self._refusals[name].suppressed:
+                    del self._refusals[name]
+
+    def _find_owner(self, name: str) -> str:
+        """Return the live node that owns an account, in this node's view."""
+        self._update_members(self._loop.time())
+        owner = self._owners.get(name)
+        if owner is None:
+            topic = f"quota/{name}"
+            owner = min(self._live, key=lambda node: hash_name(topic, node), default="")
+            self._owners[name] = owner
+            former = self._former_owners.pop(name, owner)
+            if former != owner:
+                logger.info(
+                    "quota-owner-changed",
+                    extra={"account": name, "owner": owner, "former": former},
+                )
+        return owner
+
+    def _update_members(self, now: float) -> None:
+        """Apply the set of live nodes, unless it was read just before."""
+        manager = self._link_manager
+        if manager.epoch == self._epoch and now - self._members_at < _MEMBERS_AGE_S:
+            return
+        self._epoch, self._members_at = manager.epoch, now
+        live = [peer.record.name for peer in manager.list_live() if not peer.stopping]
+        names = tuple(sorted([*live, self._own_name]))
+        unreached_count = now - self._started_at < _UNREACHED_S
+        known = 1 + sum(
+            not peer.stopping and (peer.hello_received or unreached_count)
+            for peer in manager.table.peers.values()
+        )
+        if (names, known) == (self._live, self._known):
+            return
+        if names != self._live:
+            self._former_owners.update(self._owners)
+            self._owners.clear()
+        self._live, self._known = names, known
+        share = compute_share(len(names), known)
+        self._owner.set_members(share, self._is_own, now)
+
+    def _is_own(self, name: str) -> bool:
+        topic = f"quota/{name}"
+        return min(self._live, key=lambda node: hash_name(topic, node)) == self._own_name
+
+    # -- frames ----------------------------------------------------------------------------
+
+    def handle_request(self, peer: Peer, link: Link, frame: Frame) -> None:
+        """Grant tokens to a peer, if this node owns the account.
+
+        :raises MalformedMessageError: the frame can't be decoded.
+        """
+        request = decode_header(frame, QuotaRequest, peer=link.peer)
+        config, now = self._get_config(), self._loop.time()
+        accounts = None if config is None else config.accounts
+        account = None if accounts is None else accounts.get(request.account)
+        is_owner = (
+            account is not None
+            and account.rate_per_s > 0.0
+            and self._is_ready()
+            and self._find_owner(request.account) == self._own_name
+        )
+        grant = Grant(0)
+        if is_owner:
+            assert account is not None
+            grant = self._owner.request(
+                account,
+                peer.record.name,
+                max(0, request.tokens),
+                now,
+                unused=max(0, request.unused),
+            )
+            self._metrics.count("quota_tokens_granted", amount=grant.tokens)
+        answer = QuotaGrant(request.account, request.number, *grant, is_owner)
+        link.send(FrameKind.QUOTA_GRANT, 0, answer)
+
+    def handle_grant(self, peer: Peer, link: Link, frame: Frame) -> None:
+        """Add the tokens that an owner has granted.
+
+        :raises MalformedMessageError: the frame can't be decoded.
+        """
+        grant = decode_header(frame, QuotaGrant, peer=link.peer)
+        now, name = self._loop.time(), grant.account
+        flight = self._flights.get(name)
+        in_time = flight is not None and flight.number == grant.number
+        if grant.is_owner:
+            self._silent_until.pop(name, None)
+            self._share.record_grant(
+                name, grant.number, grant.tokens, grant.next_s, grant.retry_after_s, now
+            )
+            if not in_time:
+                self._slow_until[peer.record.name] = now + _SLOW_OWNER_S
+        if in_time:
+            assert flight is not None
+            del self._flights[name]
+            flight.finish(_Answer(decided=grant.is_owner, other_owner=not grant.is_owner))
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -13,12 +13,13 @@
 from balsamhead.mesh._fairness import PriorityFairness
 from balsamhead.mesh._prior_attempts import PriorAttemptTime
 from balsamhead.mesh._queue_timeout import compute_queue_timeout
+from balsamhead.mesh._quota_exchange import QuotaRefusal
 from balsamhead.mesh._request_trace import Attempt, RequestTrace
 from balsamhead.mesh._response_times import ResponseTimes
 from balsamhead.mesh._routes import RouteTable, WeightedRoundRobin
 from balsamhead.mesh._server import Reply, Request
 from balsamhead.mesh._upstream_selector import STOPPING_RETRY_AFTER_S, UpstreamSelector
-from balsamhead.mesh.model import Config, Route, RouteKind
+from balsamhead.mesh.model import Account, Config, Route, RouteKind
 from balsamhead.platform.headers import encode_retry_after, parse_caller_headers
 from balsamhead.util.http1 import FramingError
 
@@ -29,6 +30,7 @@
     from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._link_manager import LinkManager
     from balsamhead.mesh._metrics import MeshMetrics
+    from balsamhead.mesh._quota_exchange import QuotaExchange, QuotaToken
     from balsamhead.mesh._selection import Candidate
     from balsamhead.mesh._settings import MeshSettings
     from balsamhead.mesh._traffic_split import TrafficSplit
@@ -51,6 +53,8 @@
 _UNREADABLE_RETRY_AFTER_S: Final = 1.0
 #: how long a peer that could not reach its upstream is sent no calls, in s
 _PEER_BACKOFF_S: Final = 0.3
+#: code of a refusal since the account has used up its quota
+QUOTA_EXCEEDED: Final = "quota-exceeded"
 #: codes of refusals after which no other upstream is tried
 _FINAL_CODES: Final = (CRASHING_REQUEST, TRIAL_RUNNING)
 #: codes of refusals by an upstream that has no room at once, but may have some soon
@@ -83,6 +87,7 @@
         traffic_split: TrafficSplit,
         upstream_index: UpstreamIndex,
         crash_registry: CrashRegistry,
+        quotas: QuotaExchange,
         metrics: MeshMetrics,
         rng: random.Random,
     ) -> None:
@@ -97,6 +102,7 @@
             crash_view=self._crash_view,
             rng=rng,
         )
+        self._quotas = quotas
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._round_robin = WeightedRoundRobin()
@@ -164,6 +170,9 @@
             if self._would_outlast_stop(route):
                 return self._refuse(trace, "node-stopping", STOPPING_RETRY_AFTER_S)
             deadline = min(deadline, self._stop_deadline)
+        token = await self._acquire_token(request, route, deadline, trace)
+        if isinstance(token, Reply):
+            return token
         service = self._round_robin.next_service(route)
         self._budget.record_request(service, self._loop.time())
         try:
@@ -184,6 +193,7 @@
             reply = await self._forward_in_time(request, effective_route, service, deadline, trace)
         except TimeoutError:
             reply = self._fail(trace, "deadline-passed", 504)
+        self._release_token(token, reply, trace)
         served = reply.status not in _UNSERVED_STATUSES
         self._fairness.record(service, route.priority, served=served)
         self._metrics.observe(
@@ -191,6 +201,28 @@
         )
         return reply
 
+    def _find_account(self, request: Request, route: Route) -> Account | None:
+        """Return the client account of a request; None if it has none."""
+        return None
+
+    async def _acquire_token(
+        self, request: Request, route: Route, deadline: float, trace: RequestTrace
+    ) -> QuotaToken | Reply:
+        """Take a token of the request's account, or return the reply that refuses the request."""
+        account = self._find_account(request, route)
+        try:
+            token = await self._quotas.admit(account, self._loop.time(), deadline)
+        except TimeoutError:
+            return self._fail(trace, "deadline-passed", 504)
+        if isinstance(token, QuotaRefusal):
+            return self._refuse(trace, QUOTA_EXCEEDED, token.retry_after_s, status=429)
+        return token
+
+    def _release_token(self, token: QuotaToken, reply: Reply, trace: RequestTrace) -> None:
+        """Return the token of a request that was refused and has reached no upstream."""
+        if reply.status == 503 and not trace.deliveries and not trace.may_have_run:
+            self._quotas.give_back(token)
+
     def _would_outlast_stop(self, route: Route) -> bool:
         """Return whether the response to a new request may not be complete when the node stops."""
         assert self._stop_deadline is not None
@@ -405,9 +437,11 @@
     def _record_response_time(self, request: Request, route: Route) -> None:
         self._response_times.record(route.name, self._loop.time() - request.received_at)
 
-    def _refuse(self, trace: RequestTrace, code: str, retry_after_s: float) -> Reply:
-        self._log_failure(trace, code, 503)
-        return Reply(503, headers=encode_retry_after(retry_after_s))
+    def _refuse(
+        self, trace: RequestTrace, code: str, retry_after_s: float, *, status: int = 503
+    ) -> Reply:
+        self._log_failure(trace, code, status)
+        return Reply(status, headers=encode_retry_after(retry_after_s))
 
     def _fail(self, trace: RequestTrace, code: str, status: int) -> Reply:
         self._log_failure(trace, code, status)
--- /dev/null
+++ b/balsamhead/mesh/quotas/__init__.py
@@ -0,0 +1,9 @@
+"""Quotas of client accounts, which hold over all nodes together."""
+
+from __future__ import annotations
+
+from balsamhead.mesh.quotas._bucket import TokenBucket
+from balsamhead.mesh.quotas._owner import Grant, QuotaOwner, compute_share
+from balsamhead.mesh.quotas._share import TERM_S, QuotaShare
+
+__all__ = ("TERM_S", "Grant", "QuotaOwner", "QuotaShare", "TokenBucket", "compute_share")
--- /dev/null
+++ b/balsamhead/mesh/quotas/_share.py
@@ -0,0 +1,232 @@
+"""Keep the tokens that this node was granted, and decide when to request more."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ("TERM_S", "QuotaShare")
+
+#: how long a token is valid after its request was sent, in s
+TERM_S: Final = 0.4
+#: time constant of the mean demand, in s
+_DEMAND_S: Final = 1.0
+#: largest number of tokens in one request
+_MAX_REQUESTED: Final = 256
+#: how long the state of an account without requests is kept, in s
+_IDLE_S: Final = 5.0
+#: how long tokens that expired may be reported to their owner, in s
+_REPORT_S: Final = 1.0
+#: how long a token of the static share may be used, in s; a longer time would let the nodes of a
+#: large mesh save up more tokens than the quota allows at once
+_STATIC_TERM_S: Final = 0.25
+
+
+class _Batch(NamedTuple):
+    """Tokens of one grant."""
+
+    expires_at: float
+    tokens: int
+
+
+class _Sent(NamedTuple):
+    """Request for tokens that was sent."""
+
+    sent_at: float
+    owner: str
+
+
+class _StaticShare:
+    """This node's part of the rate while no owner can be reached.
+
+    It begins at a random phase, so that the nodes of a mesh don't get their tokens all at once.
+    """
+
+    __slots__ = ("_level", "_updated_at", "_whole_at", "taken")
+
+    def __init__(self, phase: float, now: float) -> None:
+        self._level = phase
+        self._updated_at = now
+        self._whole_at = now
+        self.taken: list[float] = []
+
+    def take(self, rate: float, now: float) -> bool:
+        """Take a token; return whether there was one."""
+        self._level += rate * (now - self._updated_at)
+        self._updated_at = now
+        if self._level < 1.0:
+            return False
+        # what has been whole for longer than its term is lost
+        self._level = min(self._level, self._level % 1.0 + max(1.0, rate * _STATIC_TERM_S))
+        age_s = (self._level - 1.0) / rate
+        if age_s > _STATIC_TERM_S and rate * _STATIC_TERM_S < 1.0:
+            self._level -= 1.0
+            return False
+        self._level -= 1.0
+        self.taken.append(now)
+        return True
+
+    def get_delay(self, rate: float) -> float:
+        """Return the time until there is a token, in s."""
+        return max(0.0, 1.0 - self._level) / rate
+
+
+class _Held:
+    """What this node holds of one account."""
+
+    __slots__ = (
+        "batches",
+        "blocked_until",
+        "demand_at",
+        "demand_per_s",
+        "expired",
+        "owner",
+        "retry_at",
+        "sent",
+        "static",
+    )
+
+    def __init__(self, now: float) -> None:
+        self.batches: list[_Batch] = []
+        #: tokens that expired since they were last reported, when, and who granted them
+        self.expired: list[tuple[float, int]] = []
+        self.owner = ""
+        self.demand_per_s = 0.0
+        self.demand_at = now
+        #: the owner has no token before this time, and no room for callers before the next one
+        self.blocked_until = -math.inf
+        self.retry_at = -math.inf
+        self.sent: dict[int, _Sent] = {}
+        self.static: _StaticShare | None = None
+
+
+class QuotaShare:
+    """Tokens of this node by account; all times are in s of one clock.
+
+    :param draw: returns a random number from 0 to 1.
+    """
+
+    def __init__(self, draw: Callable[[], float]) -> None:
+        self._draw = draw
+        self._held: dict[str, _Held] = {}
+        self._number = 0
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def admit(self, name: str, now: float) -> float:
+        """Record a request of an account, and take a token for it if there is one.
+
+        :return: when the token expires; 0 if there was none.
+        """
+        held = self._held.get(name)
+        if held is None:
+            held = self._held[name] = _Held(now)
+        elapsed_s = now - held.demand_at
+        if elapsed_s > 0.0:
+            # below 5 time constants the exact decay differs little from this one
+            held.demand_per_s /= 1.0 + elapsed_s / _DEMAND_S
+            held.demand_at = now
+        held.demand_per_s += 1.0 / _DEMAND_S
+        return self._take(held, now) if held.batches else 0.0
+
+    def take(self, name: str, now: float) -> float:
+        """Take a token for a request that was recorded; see :meth:`admit`."""
+        held = self._held.get(name)
+        return 0.0 if held is None else self._take(held, now)
+
+    def _take(self, held: _Held, now: float) -> float:
+        batches = held.batches
+        while batches:
+            expires_at, count = batches[0]
+            if expires_at <= now:
+                held.expired.append((expires_at, count))
+                del batches[0]
+                continue
+            if count > 1:
+                batches[0] = _Batch(expires_at, count - 1)
+            else:
+                del batches[0]
+            return expires_at
+        return 0.0
+
+    def give_back(self, name: str, expires_at: float, now: float) -> None:
+        """Return the token of a request that wasn't sent, unless it has expired."""
+        held = self._held.get(name)
+        if held is not None and expires_at > now:
+            held.batches.append(_Batch(expires_at, 1))
+            held.batches.sort()
+
+    def get_blocked_time(self, name: str, now: float) -> tuple[float, float]:
+        """Return for how long nothing needs to be requested, and until when callers wait, in s."""
+        held = self._held.get(name)
+        if held is None or now >= held.blocked_until:
+            return 0.0, 0.0
+        return held.blocked_until - now, max(held.blocked_until, held.retry_at) - now
+
+    def record_sent(self, name: str, owner: str, waiting: int, now: float) -> tuple[int, int, int]:
+        """Record that a request for tokens is sent.
+
+        :return: its number, how many tokens to request, and how many are reported as unused.
+        """
+        held = self._held.setdefault(name, _Held(now))
+        self._number += 1
+        held.sent = {number: row for number, row in held.sent.items() if now - row.sent_at < TERM_S}
+        held.sent[self._number] = _Sent(now, owner)
+        expected = int(held.demand_per_s * TERM_S) if held.demand_per_s > 2.0 / _DEMAND_S else 0
+        unused = 0
+        if owner == held.owner:
+            unused = sum(count for at, count in held.expired if now - at < _REPORT_S)
+        held.expired.clear()
+        held.owner = owner
+        return self._number, min(_MAX_REQUESTED, waiting + expected), unused
+
+    def record_grant(
+        self, name: str, number: int, count: int, next_s: float, retry_after_s: float, now: float
+    ) -> bool:
+        """Record the answer to a request for tokens; return False if it is unknown or too late.
+
+        A grant counts from the time when its request was sent. Tokens that the static share has
+        replaced since then are used up.
+        """
+        held = self._held.get(name)
+        sent = None if held is None else held.sent.pop(number, None)
+        if held is None or sent is None:
+            return False
+        expires_at = sent.sent_at + TERM_S
+        if count <= 0:
+            held.blocked_until = now + next_s
+            held.retry_at = now + retry_after_s
+            return True
+        if now >= expires_at:
+            return False
+        if held.static is not None:
+            replaced = sum(at >= sent.sent_at for at in held.static.taken)
+            held.static = None
+            count -= replaced
+        if count > 0:
+            held.batches.append(_Batch(expires_at, count))
+            held.batches.sort()
+        return True
+
+    def take_static(self, name: str, rate: float, now: float) -> tuple[bool, float]:
+        """Take a token of this node's part of the rate while no owner can be reached.
+
+        :param rate: in tokens per s.
+        :return: whether there was one, and else the time until there is one, in s.
+        """
+        held = self._held.setdefault(name, _Held(now))
+        if held.static is None:
+            held.static = _StaticShare(self._draw(), now)
+        if held.static.take(rate, now):
+            held.static.taken[:] = [at for at in held.static.taken if now - at < TERM_S]
+            return True, 0.0
+        return False, held.static.get_delay(rate)
+
+    def drop_idle(self, now: float) -> None:
+        """Drop the state of accounts without recent requests."""
+        for name in [name for name, row in self._held.items() if now - row.demand_at > _IDLE_S]:
+            del self._held[name]
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -62,6 +62,7 @@
     ("_link_manager", "_evidence", "_state_pull", "_internal_endpoints"),
     ("_upstream_index", "_rollouts", "_sync"),
     ("_upstream_selector",),
+    ("_quota_exchange",),
     ("_request_router", "_rollout_exchange", "_crash_exchange"),
     ("_node",),
     ("_daemon",),
@@ -109,7 +110,9 @@
         for module in find_imports(PACKAGE / "mesh" / f"{name}.py"):
             if module.startswith("balsamhead.mesh."):
                 target = module.removeprefix("balsamhead.mesh.")
-                assert target in allowed or target == "model", (name, target)
+                # decision packages import no module of the node, as is checked below
+                is_decision = target in {path.name for path in list_decision_packages()}
+                assert target in allowed or target == "model" or is_decision, (name, target)
 
 
 #: modules of the mesh that its sub-packages with decisions may import
