Bound the static share, and test quotas under failures

Cause: while an owner was silent or slow, the static shares of all nodes came on top of what the owner granted. Change: the static share is limited in time by the quota's tolerance, isn't used beside an owner that answers late, and an owner stops counting silent peers before another owner can begin beyond a cut.

--- a/balsamhead/mesh/_quota_exchange.py
+++ b/balsamhead/mesh/_quota_exchange.py
@@ -8,7 +8,13 @@
 
 from balsamhead.mesh._frames import Frame, FrameKind, decode_header
 from balsamhead.mesh._peers import hash_name
-from balsamhead.mesh.quotas import Grant, QuotaOwner, QuotaShare, compute_share
+from balsamhead.mesh.quotas import (
+    ANSWER_TIMEOUT_S,
+    Grant,
+    QuotaOwner,
+    QuotaShare,
+    compute_share,
+)
 
 if TYPE_CHECKING:
     import random
@@ -24,20 +30,19 @@
 
 logger = logging.getLogger(__name__)
 
-#: how long an owner's answer is waited for, in s
-_ANSWER_TIMEOUT_S: Final = 0.15
 #: how long a request waits for a token that its owner has announced, in s
 _MAX_WAIT_S: Final = 0.25
-#: how long an owner that hasn't answered is asked nothing, in s
-_SILENT_OWNER_S: Final = 0.5
-#: how long after a late answer an owner counts as reachable though it answers late, in s
-_SLOW_OWNER_S: Final = 5.0
 #: time until a node that doesn't consider itself the owner is asked again, in s
 _OTHER_OWNER_RETRY_S: Final = 0.05
 #: number of times that one request asks for tokens
 _MAX_ATTEMPTS: Final = 4
 #: how long the set of live nodes is kept, in s
 _MEMBERS_AGE_S: Final = 0.2
+#: the same while this node has granted no tokens, in s
+_MAX_MEMBERS_AGE_S: Final = 1.0
+#: fraction of the silence after which a peer isn't live; after it, the peer doesn't count for the
+#: share of the rate that an owner grants. Beyond a cut another owner begins at the full time
+_REACHED_FRACTION: Final = 0.8
 #: how long a known node that this node has never reached counts, in s; a node that was removed for
 #: good leaves its record in the store
 _UNREACHED_S: Final = 60.0
@@ -157,7 +162,9 @@
         self._owner = QuotaOwner()
         self._share = QuotaShare(rng.random)
         self._live: tuple[str, ...] = ()
-        self._known = 0
+        self._known = 1
+        #: share of the rate of its accounts that this node grants, 0 to 1
+        self._owned_share = 0.0
         self._epoch = -1
         self._members_at = float("-inf")
         #: owner by account, as long as the same nodes are live
@@ -166,10 +173,6 @@
         self._former_owners: dict[str, str] = {}
         self._flights: dict[str, _Flight] = {}
         self._waiting: dict[str, int] = {}
-        #: until when an owner is asked nothing since it hasn't answered, by account
-        self._silent_until: dict[str, float] = {}
-        #: until when an owner counts as reachable though it answers late, by node
-        self._slow_until: dict[str, float] = {}
         self._refusals: dict[str, _Refusals] = {}
         self._clean_at = 0.0
 
@@ -212,6 +215,8 @@
         name, wait_until = account.name, received_at + _MAX_WAIT_S
         for _ in range(_MAX_ATTEMPTS):
             now = self._loop.time()
+            if now > wait_until:
+                break
             blocked_s, retry_after_s = self._share.get_blocked_time(name, now)
             if blocked_s:
                 if now + blocked_s > wait_until:
@@ -226,6 +231,8 @@
             if answer.other_owner and now + _OTHER_OWNER_RETRY_S <= wait_until:
                 await asyncio.sleep(_OTHER_OWNER_RETRY_S)
                 continue
+            if answer.other_owner:
+                break
             if not answer.decided:
                 return self._take_static(account, now)
         blocked_s, retry_after_s = self._share.get_blocked_time(name, self._loop.time())
@@ -259,10 +266,10 @@
         now = self._loop.time()
         peer = self._link_manager.table.peers.get(owner)
         link = None if peer is None else self._link_manager.get_link(peer)
-        if link is None or now < self._silent_until.get(name, 0.0):
+        if link is None or self._share.is_owner_silent(name, now):
             return None
         number, count, unused = self._share.record_sent(name, owner, self._waiting[name], now)
-        timer = self._loop.call_later(_ANSWER_TIMEOUT_S, self._handle_timeout, name)
+        timer = self._loop.call_later(ANSWER_TIMEOUT_S, self._handle_timeout, name)
         flight = self._flights[name] = _Flight(number, owner, timer)
         link.send(FrameKind.QUOTA_REQUEST, 0, QuotaRequest(name, number, count, unused))
         self._metrics.count("quota_requests")
@@ -270,23 +277,18 @@
 
     def _handle_timeout(self, name: str) -> None:
         flight, now = self._flights.pop(name), self._loop.time()
-        slow = now < self._slow_until.get(flight.owner, 0.0)
-        if not slow:
-            self._silent_until[name] = now + _SILENT_OWNER_S
-        # an owner that answers late grants the account's whole rate, so that the static share would
-        # come on top of it
-        flight.finish(_Answer(decided=slow))
+        unreachable = self._share.record_timeout(name, flight.owner, now)
+        if unreachable:
+            logger.info("quota-owner-silent", extra={"account": name, "owner": flight.owner})
+        other_owner = self._find_owner(name) != flight.owner
+        flight.finish(_Answer(decided=not unreachable, other_owner=other_owner))
 
     def _take_static(self, account: Account, now: float) -> QuotaToken | QuotaRefusal:
         """Use this node's part of the rate, since no owner can be reached."""
-        if not self._is_ready() or not self._known:
-            return QuotaRefusal(_UNDECIDED_RETRY_S)
-        rate = account.rate_per_s / self._known
-        admitted, delay_s = self._share.take_static(account.name, rate, now)
-        if admitted:
+        if self._is_ready() and self._share.take_static(account, self._known, now):
             self._metrics.count("quota_static")
             return QuotaToken(account.name, 0.0)
-        return QuotaRefusal(max(_MIN_RETRY_S, min(delay_s, _UNDECIDED_RETRY_S)))
+        return QuotaRefusal(_UNDECIDED_RETRY_S)
 
     def _record_refusal(self, account: Account, refusal: QuotaRefusal) -> None:
         self._metrics.count("quota_refused")
@@ -313,16 +315,17 @@
     def update(self) -> None:
         """Notice changes of the live nodes, and drop what is idle; called at each tick."""
         now = self._loop.time()
-        if len(self._owner):
+        config = self._get_config()
+        if config is None or config.accounts is None:
+            return
+        # between two requests, too, since a new owner's bucket begins at the change
+        if len(self._owner) or now - self._members_at >= _MAX_MEMBERS_AGE_S:
             self._update_members(now)
         self._owner.record_running(now)
         if now >= self._clean_at:
             self._clean_at = now + _CLEANING_INTERVAL_S
             self._owner.drop_idle(now)
             self._share.drop_idle(now)
-            for until in (self._silent_until, self._slow_until):
-                for name in [name for name, at in until.items() if at <= now]:
-                    del until[name]
             for name in [
                 name
                 for name, row in self._refusals.items()
@@ -353,20 +356,25 @@
         if manager.epoch == self._epoch and now - self._members_at < _MEMBERS_AGE_S:
             return
         self._epoch, self._members_at = manager.epoch, now
-        live = [peer.record.name for peer in manager.list_live() if not peer.stopping]
-        names = tuple(sorted([*live, self._own_name]))
+        live = [peer for peer in manager.list_live() if not peer.stopping]
+        names = tuple(sorted([*(peer.record.name for peer in live), self._own_name]))
+        reached = 1 + sum(
+            peer.is_live(now, manager.get_suspect_timeout(peer) * _REACHED_FRACTION)
+            for peer in live
+        )
         unreached_count = now - self._started_at < _UNREACHED_S
-        known = 1 + sum(
+        self._known = 1 + sum(
             not peer.stopping and (peer.hello_received or unreached_count)
             for peer in manager.table.peers.values()
         )
-        if (names, known) == (self._live, self._known):
+        share = compute_share(reached, self._known)
+        if (names, share) == (self._live, self._owned_share):
             return
         if names != self._live:
             self._former_owners.update(self._owners)
             self._owners.clear()
-        self._live, self._known = names, known
-        share = compute_share(len(names), known)
+            self._share.forget_silence()
+        self._live, self._owned_share = names, share
         self._owner.set_members(share, self._is_own, now)
 
     def _is_own(self, name: str) -> bool:
@@ -414,12 +422,9 @@
         flight = self._flights.get(name)
         in_time = flight is not None and flight.number == grant.number
         if grant.is_owner:
-            self._silent_until.pop(name, None)
             self._share.record_grant(
                 name, grant.number, grant.tokens, grant.next_s, grant.retry_after_s, now
             )
-            if not in_time:
-                self._slow_until[peer.record.name] = now + _SLOW_OWNER_S
         if in_time:
             assert flight is not None
             del self._flights[name]
--- a/balsamhead/mesh/quotas/__init__.py
+++ b/balsamhead/mesh/quotas/__init__.py
@@ -4,6 +4,14 @@
 
 from balsamhead.mesh.quotas._bucket import TokenBucket
 from balsamhead.mesh.quotas._owner import Grant, QuotaOwner, compute_share
-from balsamhead.mesh.quotas._share import TERM_S, QuotaShare
+from balsamhead.mesh.quotas._share import ANSWER_TIMEOUT_S, TERM_S, QuotaShare
 
-__all__ = ("TERM_S", "Grant", "QuotaOwner", "QuotaShare", "TokenBucket", "compute_share")
+__all__ = (
+    "ANSWER_TIMEOUT_S",
+    "TERM_S",
+    "Grant",
+    "QuotaOwner",
+    "QuotaShare",
+    "TokenBucket",
+    "compute_share",
+)
--- a/balsamhead/mesh/quotas/_share.py
+++ b/balsamhead/mesh/quotas/_share.py
@@ -8,16 +8,26 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ("TERM_S", "QuotaShare")
+    from balsamhead.mesh.model import Account
 
+__all__ = ("ANSWER_TIMEOUT_S", "TERM_S", "QuotaShare")
+
+#: how long an owner's answer is waited for, in s
+ANSWER_TIMEOUT_S: Final = 0.15
 #: how long a token is valid after its request was sent, in s
 TERM_S: Final = 0.4
 #: time constant of the mean demand, in s
 _DEMAND_S: Final = 1.0
 #: largest number of tokens in one request
 _MAX_REQUESTED: Final = 256
+#: how long an owner that hasn't answered is asked nothing, in s
+_SILENT_OWNER_S: Final = 0.5
+#: how long an owner that has answered late isn't replaced by the static share, in s
+_SLOW_OWNER_S: Final = 5.0
 #: how long the state of an account without requests is kept, in s
 _IDLE_S: Final = 5.0
+#: longest time for which an owner is asked nothing after it had no token; its limit may be raised
+_MAX_BLOCKED_S: Final = 1.0
 #: how long tokens that expired may be reported to their owner, in s
 _REPORT_S: Final = 1.0
 #: how long a token of the static share may be used, in s; a longer time would let the nodes of a
@@ -25,6 +35,15 @@
 _STATIC_TERM_S: Final = 0.25
 
 
+#: window over which a quota is measured, in s, and what is tolerated in it beyond the quota: a
+#: share of it, and a number of requests
+_WINDOW_S: Final = 5.0
+_TOLERATED_SHARE: Final = 0.1
+_TOLERATED: Final = 20.0
+#: part of that tolerance which the static shares of all nodes may use
+_STATIC_TOLERANCE_SHARE: Final = 0.2
+
+
 class _Batch(NamedTuple):
     """Tokens of one grant."""
 
@@ -40,39 +59,42 @@
 
 
 class _StaticShare:
-    """This node's part of the rate while no owner can be reached.
+    """This node's part of the rate, for a short time while no owner can be reached.
 
-    It begins at a random phase, so that the nodes of a mesh don't get their tokens all at once.
+    It begins at a random phase, so that the nodes of a mesh don't get their tokens all at once. The
+    owner may still grant the whole rate to nodes that reach it, until it notices that it doesn't
+    reach all; so the time is limited to what the tolerance of the quota covers.
     """
 
-    __slots__ = ("_level", "_updated_at", "_whole_at", "taken")
+    __slots__ = ("_begun_at", "_level", "_updated_at", "taken")
 
     def __init__(self, phase: float, now: float) -> None:
+        self._begun_at = now
         self._level = phase
         self._updated_at = now
-        self._whole_at = now
+        #: when tokens were taken
         self.taken: list[float] = []
 
-    def take(self, rate: float, now: float) -> bool:
-        """Take a token; return whether there was one."""
-        self._level += rate * (now - self._updated_at)
+    def is_over(self, now: float) -> bool:
+        """Return whether another one may begin."""
+        return now - self._begun_at >= _WINDOW_S
+
+    def take(self, rate: float, limit_s: float, now: float) -> bool:
+        """Take a token; return whether there was one.
+
+        :param limit_s: for how long there are tokens.
+        """
+        level = self._level + rate * (now - self._updated_at)
         self._updated_at = now
-        if self._level < 1.0:
-            return False
-        # what has been whole for longer than its term is lost
-        self._level = min(self._level, self._level % 1.0 + max(1.0, rate * _STATIC_TERM_S))
-        age_s = (self._level - 1.0) / rate
-        if age_s > _STATIC_TERM_S and rate * _STATIC_TERM_S < 1.0:
-            self._level -= 1.0
+        # tokens that have been whole for longer than their term are lost
+        valid = int(level) - int(max(0.0, level - rate * _STATIC_TERM_S))
+        self._level = level % 1.0 + valid
+        if not valid or now - self._begun_at > limit_s:
             return False
         self._level -= 1.0
         self.taken.append(now)
         return True
 
-    def get_delay(self, rate: float) -> float:
-        """Return the time until there is a token, in s."""
-        return max(0.0, 1.0 - self._level) / rate
-
 
 class _Held:
     """What this node holds of one account."""
@@ -86,6 +108,7 @@
         "owner",
         "retry_at",
         "sent",
+        "silent_until",
         "static",
     )
 
@@ -100,6 +123,8 @@
         self.blocked_until = -math.inf
         self.retry_at = -math.inf
         self.sent: dict[int, _Sent] = {}
+        #: the owner hasn't answered and is asked nothing before this time
+        self.silent_until = -math.inf
         self.static: _StaticShare | None = None
 
 
@@ -113,6 +138,8 @@
         self._draw = draw
         self._held: dict[str, _Held] = {}
         self._number = 0
+        #: until when owners that have answered late count as reachable, by name
+        self._slow_until: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._held)
@@ -184,6 +211,29 @@
         held.owner = owner
         return self._number, min(_MAX_REQUESTED, waiting + expected), unused
 
+    def record_timeout(self, name: str, owner: str, now: float) -> bool:
+        """Record that an owner hasn't answered in time; return whether it counts as unreachable.
+
+        An owner that answers late may grant the account's whole rate, so that the static share
+        would come on top of it.
+        """
+        if now < self._slow_until.get(owner, -math.inf):
+            return False
+        held = self._held.get(name)
+        if held is not None:
+            held.silent_until = now + _SILENT_OWNER_S
+        return True
+
+    def is_owner_silent(self, name: str, now: float) -> bool:
+        """Return whether the owner of an account hasn't answered and is asked nothing for now."""
+        held = self._held.get(name)
+        return held is not None and now < held.silent_until
+
+    def forget_silence(self) -> None:
+        """Record that the owners may have changed."""
+        for held in self._held.values():
+            held.silent_until = -math.inf
+
     def record_grant(
         self, name: str, number: int, count: int, next_s: float, retry_after_s: float, now: float
     ) -> bool:
@@ -196,37 +246,40 @@
         sent = None if held is None else held.sent.pop(number, None)
         if held is None or sent is None:
             return False
+        held.silent_until = -math.inf
+        if now - sent.sent_at >= ANSWER_TIMEOUT_S:
+            self._slow_until[sent.owner] = now + _SLOW_OWNER_S
         expires_at = sent.sent_at + TERM_S
         if count <= 0:
-            held.blocked_until = now + next_s
+            held.blocked_until = now + min(next_s, _MAX_BLOCKED_S)
             held.retry_at = now + retry_after_s
             return True
         if now >= expires_at:
             return False
         if held.static is not None:
             replaced = sum(at >= sent.sent_at for at in held.static.taken)
-            held.static = None
             count -= replaced
         if count > 0:
             held.batches.append(_Batch(expires_at, count))
             held.batches.sort()
         return True
 
-    def take_static(self, name: str, rate: float, now: float) -> tuple[bool, float]:
-        """Take a token of this node's part of the rate while no owner can be reached.
+    def take_static(self, account: Account, known: int, now: float) -> bool:
+        """Take a token of this node's part of the rate while the owner can't be reached.
 
-        :param rate: in tokens per s.
-        :return: whether there was one, and else the time until there is one, in s.
+        :param known: number of nodes that the rate is divided among.
+        :return: whether there was one.
         """
-        held = self._held.setdefault(name, _Held(now))
-        if held.static is None:
+        held = self._held.setdefault(account.name, _Held(now))
+        if held.static is None or held.static.is_over(now):
             held.static = _StaticShare(self._draw(), now)
-        if held.static.take(rate, now):
-            held.static.taken[:] = [at for at in held.static.taken if now - at < TERM_S]
-            return True, 0.0
-        return False, held.static.get_delay(rate)
+        rate = account.rate_per_s
+        tolerance = _TOLERATED_SHARE * (rate * _WINDOW_S + account.burst) + _TOLERATED
+        limit_s = _STATIC_TOLERANCE_SHARE * tolerance / rate
+        return held.static.take(rate / known, limit_s, now)
 
     def drop_idle(self, now: float) -> None:
         """Drop the state of accounts without recent requests."""
         for name in [name for name, row in self._held.items() if now - row.demand_at > _IDLE_S]:
             del self._held[name]
+        self._slow_until = {name: at for name, at in self._slow_until.items() if at > now}
--- a/tests/test_mesh/quota_builders.py
+++ b/tests/test_mesh/quota_builders.py
@@ -30,7 +30,7 @@
     return Account(name, 1, rate, burst, ())
 
 
-def make_quota_config(version: int = 1, **rates: tuple[float, float]) -> dict[str, Any]:
+def make_quota_config(rates: dict[str, tuple[float, float]], *, version: int = 1) -> dict[str, Any]:
     """Return a configuration with accounts, given their rates and bursts by name."""
     config = make_config(version)
     config["tenants"] = {
@@ -62,7 +62,7 @@
     settings = [
         make_settings(number, place=places[number % len(places)]) for number in range(1, count + 1)
     ]
-    cluster, send_request = await start_cluster(*settings, config=make_quota_config(**rates))
+    cluster, send_request = await start_cluster(*settings, config=make_quota_config(rates))
     for member in cluster.members.values():
         member.upstream.slots = 100
         member.upstream.service_time_s = 0.005
@@ -98,11 +98,12 @@
         end = loop.time() + duration_s
         while loop.time() < end:
             members = list(self._cluster.members.values())
-            row = weights[: len(members)] or [1.0] * len(members)
-            member = self._rng.choices(members, row)[0]
-            task = loop.create_task(self._send(member, account))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            if members:
+                row = weights[: len(members)] or [1.0] * len(members)
+                member = self._rng.choices(members, row)[0]
+                task = loop.create_task(self._send(member, account))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(1.0 / rate if regular else self._rng.expovariate(rate))
         while self._tasks:
             await asyncio.gather(*self._tasks)
--- a/tests/test_mesh/test_quotas.py
+++ b/tests/test_mesh/test_quotas.py
@@ -1,15 +1,19 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable, Sequence
 
 import pytest
 
-from tests.test_mesh.builders import run_virtual
+from balsamhead.mesh._peers import rank_nodes
+from tests.test_mesh.builders import InMemoryCluster, run_virtual
+from tests.test_mesh.cut_builders import divide, list_region_hosts
 from tests.test_mesh.quota_builders import (
     Traffic,
     accounts_from_headers,
     count_most,
     get_bound,
+    make_quota_config,
     start_quota_cluster,
 )
 
@@ -48,3 +52,141 @@
 
     with accounts_from_headers():
         run_virtual(main)
+
+
+#: rate and burst of the account in the tests of failures
+RATE, BURST = 40.0, 40.0
+
+
+def find_quota_owner(cluster: InMemoryCluster, account: str) -> int:
+    """Return the number of the node that owns an account."""
+    names = [member.cfg.node for member in cluster.members.values()]
+    return int(rank_nodes(names, f"quota/{account}")[0].split("-")[1])
+
+
+def run_failure(
+    fail: Callable[[InMemoryCluster], Awaitable[None]],
+    *,
+    places: Sequence[str] = ("east-a",),
+    load: float = 9 * RATE,
+    count: int = 5,
+) -> Traffic:
+    """Run nodes under load, with a failure after 4 s and 7 s more; check the bound."""
+    result: list[Traffic] = []
+
+    async def main() -> None:
+        cluster, send_request = await start_quota_cluster(count, places=places, acme=(RATE, BURST))
+        traffic = Traffic(cluster, send_request, seed=5)
+        running = asyncio.create_task(traffic.run("acme", load, 11.0))
+        await asyncio.sleep(4.0)
+        await fail(cluster)
+        await running
+        result.append(traffic)
+
+    with accounts_from_headers():
+        run_virtual(main)
+    assert count_most(result[0].admitted_at["acme"]) <= get_bound(RATE, BURST)
+    return result[0]
+
+
+# QUOTA: both sides of a cut granted the whole rate.
+@pytest.mark.parametrize("duration_s", [0.5, 3.0, 10.0])
+def test_quota_holds_in_a_mesh_that_is_cut_in_two(duration_s: float) -> None:
+    async def cut(cluster: InMemoryCluster) -> None:
+        cluster.network.is_cut = divide(list_region_hosts(cluster, "west"))
+        await asyncio.sleep(duration_s)
+        cluster.network.is_cut = lambda host, peer: False
+
+    traffic = run_failure(cut, places=("east-a", "west-a"))
+    # both sides together go on with about the rate
+    assert traffic.statuses["acme"][200] >= 0.8 * 11.0 * RATE
+
+
+# QUOTA: each start of all nodes let the whole burst pass again.
+def test_quota_holds_when_all_nodes_are_restarted_at_once() -> None:
+    async def restart(cluster: InMemoryCluster) -> None:
+        for _ in range(3):
+            await cluster.restart_all(down_s=0.1)
+            await asyncio.sleep(1.0)
+
+    run_failure(restart)
+
+
+def test_quota_holds_when_the_owner_is_killed_and_comes_back() -> None:
+    async def kill(cluster: InMemoryCluster) -> None:
+        member = cluster.kill(find_quota_owner(cluster, "acme"))
+        await asyncio.sleep(2.0)
+        await cluster.add(member.cfg, upstream=member.upstream)
+
+    traffic = run_failure(kill)
+    assert traffic.statuses["acme"][200] >= 0.8 * 11.0 * RATE
+
+
+# QUOTA: the death of the owner cost requests of accounts within their limits.
+def test_account_within_its_limit_is_not_refused_when_the_owner_is_killed() -> None:
+    async def kill(cluster: InMemoryCluster) -> None:
+        cluster.kill(find_quota_owner(cluster, "acme"))
+
+    traffic = run_failure(kill, load=10.0)
+    assert traffic.statuses["acme"][429] == 0
+
+
+# QUOTA: an owner that ran again granted what another one had granted meanwhile.
+def test_quota_holds_when_the_owner_is_silent_and_comes_back() -> None:
+    async def hold(cluster: InMemoryCluster) -> None:
+        owner = cluster.members[find_quota_owner(cluster, "acme")]
+        cluster.network.is_cut = divide({owner.cfg.peer_address.split(":")[0]})
+        await asyncio.sleep(3.0)
+        cluster.network.is_cut = lambda host, peer: False
+
+    run_failure(hold)
+
+
+# QUOTA: a lowered limit did not reach the buckets.
+def test_lowered_limit_holds_after_it_has_arrived() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_quota_cluster(4, acme=(40.0, 40.0))
+        await Traffic(cluster, send_request, seed=6).run("acme", 90.0, 4.0)
+        lowered = make_quota_config({"acme": (5.0, 5.0)}, version=2)
+        cluster.store.put("keyed.op", "config", lowered)
+        await asyncio.sleep(5.0)
+        traffic = Traffic(cluster, send_request, seed=7)
+        await traffic.run("acme", 45.0, 10.0)
+        assert count_most(traffic.admitted_at["acme"]) <= get_bound(5.0, 5.0)
+        assert 45 <= traffic.statuses["acme"][200] <= 60
+
+    with accounts_from_headers():
+        run_virtual(main)
+
+
+# QUOTA: nodes of the release before would log each frame as rejected.
+def test_nothing_is_sent_for_accounts_without_a_limit_or_without_requests() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_quota_cluster(4, free=(0.0, 0.0), idle=(5.0, 5.0))
+        traffic = Traffic(cluster, send_request, seed=8)
+        await traffic.run("free", 50.0, 2.0)
+        assert set(traffic.statuses["free"]) == {200}
+        for member in cluster.members.values():
+            assert b"quota" not in member.node._metrics.render()
+
+    with accounts_from_headers():
+        run_virtual(main)
+
+
+# QUOTA: requests of a busy account cost more messages than the requests themselves.
+def test_busy_accounts_need_few_messages() -> None:
+    async def main() -> None:
+        cluster, send_request = await start_quota_cluster(3, acme=(400.0, 400.0))
+        traffic = Traffic(cluster, send_request, seed=9)
+        await traffic.run("acme", 300.0, 4.0)
+        asked = sum(
+            int(line.split()[1])
+            for member in cluster.members.values()
+            for line in member.node._metrics.render().decode().splitlines()
+            if line.startswith("balsamhead_quota_requests_total ")
+        )
+        assert set(traffic.statuses["acme"]) == {200}
+        assert asked <= 0.2 * traffic.statuses["acme"][200]
+
+    with accounts_from_headers():
+        run_virtual(main)
