--- a/balsamhead/mesh/quotas/_share.py
+++ b/balsamhead/mesh/quotas/_share.py
@@ -44,11 +44,14 @@
 _STATIC_TOLERANCE_SHARE: Final = 0.2
 
 
-class _Batch(NamedTuple):
-    """Tokens of one grant."""
+class _Batch:
+    """Tokens of one grant; mutable, since each request takes one."""
 
-    expires_at: float
-    tokens: int
+    __slots__ = ("expires_at", "tokens")
+
+    def __init__(self, expires_at: float, tokens: int) -> None:
+        self.expires_at = expires_at
+        self.tokens = tokens
 
 
 class _Sent(NamedTuple):
@@ -168,14 +171,14 @@
     def _take(self, held: _Held, now: float) -> float:
         batches = held.batches
         while batches:
-            expires_at, count = batches[0]
+            batch = batches[0]
+            expires_at = batch.expires_at
             if expires_at <= now:
-                held.expired.append((expires_at, count))
+                held.expired.append((expires_at, batch.tokens))
                 del batches[0]
                 continue
-            if count > 1:
-                batches[0] = _Batch(expires_at, count - 1)
-            else:
+            batch.tokens -= 1
+            if not batch.tokens:
                 del batches[0]
             return expires_at
         return 0.0
@@ -185,7 +188,7 @@
         held = self._held.get(name)
         if held is not None and expires_at > now:
             held.batches.append(_Batch(expires_at, 1))
-            held.batches.sort()
+            held.batches.sort(key=_get_expiry)
 
     def get_blocked_time(self, name: str, now: float) -> tuple[float, float]:
         """Return for how long nothing needs to be requested, and until when callers wait, in s."""
@@ -261,7 +264,7 @@
             count -= replaced
         if count > 0:
             held.batches.append(_Batch(expires_at, count))
-            held.batches.sort()
+            held.batches.sort(key=_get_expiry)
         return True
 
     def take_static(self, account: Account, known: int, now: float) -> bool:
@@ -283,3 +286,7 @@
         for name in [name for name, row in self._held.items() if now - row.demand_at > _IDLE_S]:
             del self._held[name]
         self._slow_until = {name: at for name, at in self._slow_until.items() if at > now}
+
+
+def _get_expiry(batch: _Batch) -> float:
+    return batch.expires_at
--- a/tests/test_wire/test_encodings.py
+++ b/tests/test_wire/test_encodings.py
@@ -25,6 +25,7 @@
     _frames,
     _link_headers,
     _peers,
+    _quota_exchange,
     _rollout_exchange,
     _settings,
     _state_history,
@@ -123,6 +124,8 @@
     "frame/withdrawn": (_frames.FrameKind.WITHDRAWN, _rollout_exchange._WithdrawnHeader),
     "frame/config": (_frames.FrameKind.CONFIG, None),
     "frame/config-pull": (_frames.FrameKind.CONFIG_PULL, tuple[int]),
+    "frame/quota-grant": (_frames.FrameKind.QUOTA_GRANT, _quota_exchange.QuotaGrant),
+    "frame/quota-request": (_frames.FrameKind.QUOTA_REQUEST, _quota_exchange.QuotaRequest),
     "frame/rollout": (_frames.FrameKind.ROLLOUT, _rollout_exchange._RolloutHeader),
     "frame/evidence": (_frames.FrameKind.EVIDENCE, _rollout_exchange._EvidenceHeader),
 }
