--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -75,6 +75,9 @@
     # only where keys of client accounts are revoked in bounded time
     FRESHNESS_QUERY = 42
     FRESHNESS = 43
+    # tokens of an account's quota, requested from its owner
+    QUOTA_REQUEST = 44
+    QUOTA_GRANT = 45
 
 
 class Frame(NamedTuple):
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -20,6 +20,7 @@
 from balsamhead.mesh._metrics import MeshMetrics
 from balsamhead.mesh._peers import Heartbeat, Hello, Peer, UpstreamView
 from balsamhead.mesh._placement import Placement
+from balsamhead.mesh._quota_exchange import QuotaExchange
 from balsamhead.mesh._refusal_archive import RefusalArchive
 from balsamhead.mesh._request_router import RequestRouter
 from balsamhead.mesh._rollout_exchange import RolloutExchange
@@ -163,8 +164,17 @@
             read_boot_time=read_boot_time,
             rng=rng,
         )
+        self._quotas = QuotaExchange(
+            cfg.node,
+            link_manager=self._link_manager,
+            metrics=self._metrics,
+            rng=rng,
+            get_config=lambda: self._sync.state.config,
+            is_ready=lambda: self._registered_once and self._has_joined(),
+        )
         self._caller_side = RequestRouter(
             cfg,
+            quotas=self._quotas,
             link_manager=self._link_manager,
             local=self._local_upstream,
             budget=self._budget,
@@ -218,10 +228,13 @@
         self._tasks: set[asyncio.Task[None]] = set()
         #: era of the store in which this node is registered; -1 while it is being registered
         self._registered_era = -1
+        #: the records of all nodes have been read since the start
+        self._registered_once = False
         self._started_at = self._loop.time()
         self._joined = False
         self._slot_usage_due_at = 0.0
         self._timers: list[asyncio.TimerHandle] = []
+        self._frame_handlers = self._make_frame_handlers()
 
     # -- lifecycle -------------------------------------------------------------------------
 
@@ -321,6 +334,7 @@
         self._rollouts.restore_withdrawn(directory.withdrawn)
         self._links_deadline = self._loop.time() + _READY_LINK_TIMEOUT_S
         self._registered_era = written_era
+        self._registered_once = True
         logger.info("nodes-loaded", extra={"nodes": len(directory.nodes), "era": written_era})
 
     async def _register_again(self) -> None:
@@ -361,6 +375,7 @@
         if self._registered_era > -1:
             peers = self._link_manager.table.peers.values()
             self._placement.report_unknown_places(peer.record for peer in peers)
+        self._quotas.update()
         if self._loop.time() >= self._slot_usage_due_at:
             self._slot_usage_due_at = self._loop.time() + _SLOT_USAGE_INTERVAL_S
             self._local_upstream.log_slot_usage()
@@ -450,34 +465,48 @@
 
         :raises MalformedMessageError: the kind is unknown or the frame can't be decoded.
         """
-        match frame.kind:
-            case FrameKind.CONFIG:
-                self._sync.handle_delta(peer, link, frame)
-            case FrameKind.CONFIG_PULL:
-                self._sync.send_delta(link, decode_header(frame, tuple[int], peer=link.peer)[0])
-            case FrameKind.FRESHNESS_QUERY:
-                self._freshness.handle_query(link, frame)
-            case FrameKind.FRESHNESS:
-                self._freshness.handle_response(link, frame)
-            case FrameKind.STORE_NEAR:
-                self._sync.handle_store_near(peer, frame)
-            case FrameKind.ROLLOUT:
-                self._rollouts.handle_state(frame, link)
-            case FrameKind.EVIDENCE:
-                self._rollouts.handle_evidence(frame, link)
-            case FrameKind.WITHDRAWN:
-                self._rollouts.handle_withdrawn(frame, link)
-            case FrameKind.CRASHES:
-                self._crash_exchange.handle_crashes(link, frame)
-            case FrameKind.CRASHES_CLEARED:
-                self._crash_exchange.handle_cleared(link, frame)
-            case FrameKind.UPSTREAM_RECALL:
-                notice = decode_header(frame, UpstreamNotice, peer=link.peer)
-                self._local_upstream.recall_notice(notice)
-            case _:
-                raise MalformedMessageError(
-                    f"unknown frame kind {frame.kind}", step="take-frame", peer=link.peer
-                )
+        handle = self._frame_handlers.get(frame.kind)
+        if handle is None:
+            raise MalformedMessageError(
+                f"unknown frame kind {frame.kind}", step="take-frame", peer=link.peer
+            )
+        handle(peer, link, frame)
+
+    def _make_frame_handlers(self) -> dict[int, Callable[[Peer, Link, Frame], None]]:
+        return {
+            FrameKind.CONFIG: self._sync.handle_delta,
+            FrameKind.CONFIG_PULL: self._send_delta,
+            FrameKind.STORE_NEAR: lambda peer, _, frame: self._sync.handle_store_near(peer, frame),
+            FrameKind.FRESHNESS_QUERY: lambda _, link, frame: self._freshness.handle_query(
+                link, frame
+            ),
+            FrameKind.FRESHNESS: lambda _, link, frame: self._freshness.handle_response(
+                link, frame
+            ),
+            FrameKind.ROLLOUT: lambda _, link, frame: self._rollouts.handle_state(frame, link),
+            FrameKind.EVIDENCE: lambda _, link, frame: self._rollouts.handle_evidence(frame, link),
+            FrameKind.WITHDRAWN: lambda _, link, frame: self._rollouts.handle_withdrawn(
+                frame, link
+            ),
+            FrameKind.CRASHES: lambda _, link, frame: self._crash_exchange.handle_crashes(
+                link, frame
+            ),
+            FrameKind.CRASHES_CLEARED: lambda _, link, frame: self._crash_exchange.handle_cleared(
+                link, frame
+            ),
+            FrameKind.QUOTA_REQUEST: self._quotas.handle_request,
+            FrameKind.QUOTA_GRANT: self._quotas.handle_grant,
+            FrameKind.UPSTREAM_RECALL: self._recall_notice,
+        }
+
+    def _send_delta(self, peer: Peer, link: Link, frame: Frame) -> None:
+        del peer
+        self._sync.send_delta(link, decode_header(frame, tuple[int], peer=link.peer)[0])
+
+    def _recall_notice(self, peer: Peer, link: Link, frame: Frame) -> None:
+        del peer
+        notice = decode_header(frame, UpstreamNotice, peer=link.peer)
+        self._local_upstream.recall_notice(notice)
 
     # -- endpoints for the platform --------------------------------------------------------
 
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -14,6 +14,7 @@
 from balsamhead.mesh._fairness import PriorityFairness
 from balsamhead.mesh._prior_attempts import PriorAttemptTime
 from balsamhead.mesh._queue_timeout import compute_queue_timeout
+from balsamhead.mesh._quota_exchange import QuotaRefusal
 from balsamhead.mesh._request_trace import Attempt, RequestTrace
 from balsamhead.mesh._response_times import ResponseTimes
 from balsamhead.mesh._routes import RouteTable, WeightedRoundRobin
@@ -44,6 +45,7 @@
     from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._link_manager import LinkManager
     from balsamhead.mesh._metrics import MeshMetrics
+    from balsamhead.mesh._quota_exchange import QuotaExchange, QuotaToken
     from balsamhead.mesh._selection import Candidate
     from balsamhead.mesh._settings import MeshSettings
     from balsamhead.mesh._traffic_split import TrafficSplit
@@ -68,6 +70,8 @@
 _NOT_FRESH_RETRY_AFTER_S: Final = 0.5
 #: how long a peer that could not reach its upstream is sent no calls, in s
 _PEER_BACKOFF_S: Final = 0.3
+#: code of a refusal since the account has used up its quota
+QUOTA_EXCEEDED: Final = "quota-exceeded"
 #: codes of refusals after which no other upstream is tried
 _FINAL_CODES: Final = (CRASHING_REQUEST, TRIAL_RUNNING)
 #: codes of refusals by an upstream that has no room at once, but may have some soon
@@ -102,6 +106,7 @@
         traffic_split: TrafficSplit,
         upstream_index: UpstreamIndex,
         crash_registry: CrashRegistry,
+        quotas: QuotaExchange,
         metrics: MeshMetrics,
         rng: random.Random,
         is_config_fresh: Callable[[], bool] = lambda: True,
@@ -123,6 +128,7 @@
             crash_view=self._crash_view,
             rng=rng,
         )
+        self._quotas = quotas
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._round_robin = WeightedRoundRobin()
@@ -170,21 +176,10 @@
         except FramingError:
             return Reply(400)
         trace = RequestTrace(caller_headers.request_id)
-        if self._route_table is None:
-            return self._refuse(trace, "config-unknown", _DEFAULT_RETRY_AFTER_S)
-        if self.stopping:
-            return self._refuse(trace, "node-stopping", STOPPING_RETRY_AFTER_S)
-        route = self._route_table.find(request.head.host, request.head.path)
-        if route is None:
-            self._metrics.count("requests_unrouted")
-            return Reply(404)
-        trace.route = route.name
-        if not route.served:
-            return self._refuse(trace, "route-unreadable", _UNREADABLE_RETRY_AFTER_S)
-        account_route = self._authenticate(route, caller_headers.keys, trace)
-        if isinstance(account_route, Reply):
-            return account_route
-        route = account_route
+        found = self._find_route(request, caller_headers.keys, trace)
+        if isinstance(found, Reply):
+            return found
+        route = found
         if self._accounts.in_force:
             request = _without_account_headers(request)
         refusal_s = self._crash_view.get_refusal_time(request, self._loop.time())
@@ -197,6 +192,9 @@
             if self._would_outlast_stop(route):
                 return self._refuse(trace, "node-stopping", STOPPING_RETRY_AFTER_S)
             deadline = min(deadline, self._stop_deadline)
+        token = await self._acquire_token(deadline, trace)
+        if isinstance(token, Reply):
+            return token
         service = self._round_robin.next_service(route)
         self._budget.record_request(service, self._loop.time())
         try:
@@ -217,6 +215,7 @@
             reply = await self._forward_in_time(request, effective_route, service, deadline, trace)
         except TimeoutError:
             reply = self._fail(trace, "deadline-passed", 504)
+        self._release_token(token, reply, trace)
         served = reply.status not in _UNSERVED_STATUSES
         self._fairness.record(service, route.priority, served=served)
         self._metrics.observe(
@@ -224,6 +223,26 @@
         )
         return reply
 
+    def _find_route(
+        self, request: Request, keys: Sequence[bytes], trace: RequestTrace
+    ) -> Route | Reply:
+        """Return the route of a request, or the reply to one that may use none.
+
+        :param keys: values of the request's headers that hold a key.
+        """
+        if self._route_table is None:
+            return self._refuse(trace, "config-unknown", _DEFAULT_RETRY_AFTER_S)
+        if self.stopping:
+            return self._refuse(trace, "node-stopping", STOPPING_RETRY_AFTER_S)
+        route = self._route_table.find(request.head.host, request.head.path)
+        if route is None:
+            self._metrics.count("requests_unrouted")
+            return Reply(404)
+        trace.route = route.name
+        if not route.served:
+            return self._refuse(trace, "route-unreadable", _UNREADABLE_RETRY_AFTER_S)
+        return self._authenticate(route, keys, trace)
+
     def _authenticate(
         self, route: Route, keys: Sequence[bytes], trace: RequestTrace
     ) -> Route | Reply:
@@ -233,7 +252,7 @@
         """
         match self._accounts.check(route, keys):
             case Authenticated(account):
-                trace.account = account.name
+                trace.client_account = account
                 return route._replace(priority=compute_account_priority(account, route.priority))
             case Denied(code, digest_prefix):
                 trace.key_digest_prefix = digest_prefix
@@ -243,6 +262,21 @@
             case NoAccountNeeded():
                 return route
 
+    async def _acquire_token(self, deadline: float, trace: RequestTrace) -> QuotaToken | Reply:
+        """Take a token of the request's account, or return the reply that refuses the request."""
+        try:
+            token = await self._quotas.admit(trace.client_account, self._loop.time(), deadline)
+        except TimeoutError:
+            return self._fail(trace, "deadline-passed", 504)
+        if isinstance(token, QuotaRefusal):
+            return self._refuse(trace, QUOTA_EXCEEDED, token.retry_after_s, status=429)
+        return token
+
+    def _release_token(self, token: QuotaToken, reply: Reply, trace: RequestTrace) -> None:
+        """Return the token of a request that was refused and has reached no upstream."""
+        if reply.status == 503 and not trace.deliveries and not trace.may_have_run:
+            self._quotas.give_back(token)
+
     def _would_outlast_stop(self, route: Route) -> bool:
         """Return whether the response to a new request may not be complete when the node stops."""
         assert self._stop_deadline is not None
@@ -459,9 +493,11 @@
     def _record_response_time(self, request: Request, route: Route) -> None:
         self._response_times.record(route.name, self._loop.time() - request.received_at)
 
-    def _refuse(self, trace: RequestTrace, code: str, retry_after_s: float) -> Reply:
-        self._log_failure(trace, code, 503)
-        return Reply(503, headers=encode_retry_after(retry_after_s))
+    def _refuse(
+        self, trace: RequestTrace, code: str, retry_after_s: float, *, status: int = 503
+    ) -> Reply:
+        self._log_failure(trace, code, status)
+        return Reply(status, headers=encode_retry_after(retry_after_s))
 
     def _fail(self, trace: RequestTrace, code: str, status: int) -> Reply:
         self._log_failure(trace, code, status)
--- a/balsamhead/mesh/_request_trace.py
+++ b/balsamhead/mesh/_request_trace.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from balsamhead.mesh._selection import Selection
+    from balsamhead.mesh.model import Account
 
 __all__ = ("Attempt", "Decision", "RequestTrace")
 
@@ -52,9 +53,9 @@
     """State of a request while it is routed."""
 
     __slots__ = (
-        "account",
         "attempted_nodes",
         "attempts",
+        "client_account",
         "deliveries",
         "key_digest_prefix",
         "last_decision",
@@ -69,8 +70,8 @@
     def __init__(self, request_id: bytes) -> None:
         self.request_id = request_id.decode("latin-1")
         self.route = ""
-        #: name of the client account; empty if the request needs no key
-        self.account = ""
+        #: None if the request needs no key
+        self.client_account: Account | None = None
         #: first bytes of the digest of an unknown key, in hexadecimal
         self.key_digest_prefix = ""
         self.attempted_nodes: list[str] = []
@@ -89,6 +90,11 @@
         #: until when the request may wait for a slot, in s of the loop's clock
         self.queue_deadline = 0.0
 
+    @property
+    def account(self) -> str:
+        """Return the name of the client account; empty if the request needs no key."""
+        return "" if self.client_account is None else self.client_account.name
+
     def describe_account(self) -> dict[str, str]:
         """Return what is known of the client account as fields of a log line."""
         fields = {"account": self.account, "key_digest": self.key_digest_prefix}
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -64,6 +64,7 @@
     ("_link_manager", "_evidence", "_state_pull", "_internal_endpoints"),
     ("_upstream_index", "_rollouts", "_sync", "_freshness_exchange"),
     ("_upstream_selector",),
+    ("_quota_exchange",),
     ("_request_router", "_rollout_exchange", "_crash_exchange"),
     ("_node",),
     ("_daemon",),
--- a/tests/test_wire/test_encodings.py
+++ b/tests/test_wire/test_encodings.py
@@ -26,6 +26,7 @@
     _freshness_exchange,
     _link_headers,
     _peers,
+    _quota_exchange,
     _rollout_exchange,
     _settings,
     _state_history,
@@ -129,6 +130,8 @@
     "frame/freshness": (_frames.FrameKind.FRESHNESS, _freshness_exchange._ResponseHeader),
     "frame/config": (_frames.FrameKind.CONFIG, None),
     "frame/config-pull": (_frames.FrameKind.CONFIG_PULL, tuple[int]),
+    "frame/quota-grant": (_frames.FrameKind.QUOTA_GRANT, _quota_exchange.QuotaGrant),
+    "frame/quota-request": (_frames.FrameKind.QUOTA_REQUEST, _quota_exchange.QuotaRequest),
     "frame/rollout": (_frames.FrameKind.ROLLOUT, _rollout_exchange._RolloutHeader),
     "frame/evidence": (_frames.FrameKind.EVIDENCE, _rollout_exchange._EvidenceHeader),
 }
