Recognize nested calls, and run them before new requests

An upstream that runs a request holds its slot while its own calls wait at another service. These calls queued behind new requests by the priority of their route and were refused by their own latency objective, so that the request that made them failed after it had used a slot.

In deployments with accounts, requests on public routes are nested calls. Elsewhere the upstream's node learns which routes are requested only from VMs of some services while others are requested from all; it tells the nodes of these services with a new frame (46), at most every 10 s. The learned part is active only where the configuration has accounts, cold starts, uploads or restricted routes. Nested calls get priority -1 and may wait for as long as they can end before the deadline of their parent.

The layer test lets mesh modules above the model import the public modules of decision packages, which import only the model themselves.

--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -71,6 +71,8 @@
     CALL_END = 38
     # versions that get no calls until they are ordered again
     WITHDRAWN = 39
+    # a route whose requests are nested calls; nodes that don't know the kind reject it and go on
+    ADMISSION = 46
 
 
 class Frame(NamedTuple):
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 from balsamhead.errors import LogError, MalformedMessageError
+from balsamhead.mesh._admission_exchange import AdmissionExchange
 from balsamhead.mesh._budget import RetryBudget
 from balsamhead.mesh._crash_archive import CrashArchive
 from balsamhead.mesh._crash_exchange import CrashExchange
@@ -119,6 +120,9 @@
             crash_registry=self._crash_registry,
         )
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
+        self._admission_exchange = AdmissionExchange(
+            self._local_upstream.nested_routes, link_manager=self._link_manager
+        )
         self._crash_exchange = CrashExchange(self._crash_registry, link_manager=self._link_manager)
         self._refusal_archive = RefusalArchive(self._crash_registry, records)
         self._crash_archive = CrashArchive(cfg.node, self._crash_registry, records)
@@ -374,6 +378,7 @@
             return await task
         finally:
             self._link_manager.announce_load()
+            self._admission_exchange.call_received(call)
 
     def run_call(self, call: Call, body: bytes, rest: BodyRest | None) -> Awaitable[Outcome]:
         """Run a call of a peer on this node's upstream."""
@@ -415,6 +420,8 @@
                 self._rollouts.handle_evidence(frame, link)
             case FrameKind.WITHDRAWN:
                 self._rollouts.handle_withdrawn(frame, link)
+            case FrameKind.ADMISSION:
+                self._admission_exchange.handle_nested_route(link, frame)
             case FrameKind.CRASHES:
                 self._crash_exchange.handle_crashes(link, frame)
             case FrameKind.CRASHES_CLEARED:
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -18,6 +18,7 @@
 from balsamhead.mesh._routes import RouteTable, WeightedRoundRobin
 from balsamhead.mesh._server import Reply, Request
 from balsamhead.mesh._upstream_selector import STOPPING_RETRY_AFTER_S, UpstreamSelector
+from balsamhead.mesh.admission.decisions import NESTED_PRIORITY
 from balsamhead.mesh.model import Config, Route, RouteKind
 from balsamhead.platform.headers import encode_retry_after, parse_caller_headers
 from balsamhead.util.http1 import FramingError
@@ -113,6 +114,7 @@
     def set_config(self, config: Config) -> None:
         """Apply a configuration."""
         self._route_table = RouteTable(config)
+        self._local.nested_routes.set_config(config)
 
     def set_stop_deadline(self, stop_deadline: float) -> None:
         """Give each request a response before the node stops.
@@ -181,11 +183,17 @@
             effective_route = route._replace(
                 priority=self._fairness.get_effective_priority(service, route.priority)
             )
+            trace.nested = self._local.nested_routes.is_nested(route.name, self._loop.time())
+            if trace.nested:
+                effective_route = route._replace(priority=NESTED_PRIORITY)
+                trace.queue_deadline = deadline
+                self._metrics.count("nested_calls", service)
             reply = await self._forward_in_time(request, effective_route, service, deadline, trace)
         except TimeoutError:
             reply = self._fail(trace, "deadline-passed", 504)
         served = reply.status not in _UNSERVED_STATUSES
-        self._fairness.record(service, route.priority, served=served)
+        if not trace.nested:
+            self._fairness.record(service, route.priority, served=served)
         self._metrics.observe(
             "request_seconds", self._loop.time() - request.received_at, route.kind.value
         )
@@ -331,6 +339,7 @@
             objective_ms=int((trace.objective_deadline - now) * 1000),
             queue_timeout_ms=int((trace.queue_deadline - now) * 1000) if may_wait else 0,
             urgent=trace.urgent,
+            nested=trace.nested,
         )
         self._selector.route_times.record_selection(route.name, candidate.service_ms)
         outcome = await self._call_node(call, request, candidate)
--- a/balsamhead/mesh/_request_trace.py
+++ b/balsamhead/mesh/_request_trace.py
@@ -57,6 +57,7 @@
         "deliveries",
         "last_decision",
         "may_have_run",
+        "nested",
         "objective_deadline",
         "queue_deadline",
         "request_id",
@@ -76,6 +77,8 @@
         self.deliveries = 0
         #: an upstream may have run the request
         self.may_have_run = False
+        #: an upstream makes the request while it runs another one
+        self.nested = False
         #: requests with a lower priority are sent to the same service
         self.urgent = False
         #: when the latency objective is missed, in s of the loop's clock
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -25,6 +25,11 @@
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
 from balsamhead.mesh._upstream_statistics import UpstreamStatistics
+from balsamhead.mesh.admission.decisions import (
+    NESTED_PRIORITY,
+    NestedRoutes,
+    compute_nested_wait,
+)
 from balsamhead.mesh.model import Load, RouteKind, UpstreamNotice, UpstreamRecord, UpstreamState
 
 if TYPE_CHECKING:
@@ -105,6 +110,8 @@
             crash_registry, connections=self._connections, get_record=lambda: self.record
         )
         self._statistics = UpstreamStatistics()
+        #: routes whose requests are calls that upstreams make while they run others
+        self.nested_routes = NestedRoutes()
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
 
@@ -305,7 +312,11 @@
         :param body: the whole body, or its first part.
         :param rest: the rest of the body, if it is still arriving.
         """
-        deadline = self._loop.time() + call.remaining_ms / 1000
+        now = self._loop.time()
+        deadline = now + call.remaining_ms / 1000
+        self.nested_routes.record(call.route, call.caller_service, now)
+        if call.nested or self.nested_routes.is_nested(call.route, now):
+            call = call._replace(nested=True, priority=NESTED_PRIORITY)
         refusal = self._check_admission(call) or self._check_crashes(call, body)
         if refusal is not None:
             return refusal
@@ -353,6 +364,11 @@
         return max(slot_wait_ms, self._slots.get_limit_delay(ahead=ahead) * 1000)
 
     def _compute_max_wait(self, call: Call) -> float:
+        if call.nested:
+            return compute_nested_wait(
+                remaining_ms=call.remaining_ms,
+                service_ms=self._statistics.get_route_ms(call.route),
+            )
         return compute_max_wait(
             objective_ms=call.objective_ms,
             queue_timeout_ms=call.queue_timeout_ms,
--- a/balsamhead/mesh/_upstream_selector.py
+++ b/balsamhead/mesh/_upstream_selector.py
@@ -11,6 +11,7 @@
 from balsamhead.mesh._request_trace import Decision, RequestTrace
 from balsamhead.mesh._route_times import RouteTimes
 from balsamhead.mesh._selection import Candidate, Selection, select_upstream
+from balsamhead.mesh.admission.decisions import compute_nested_wait
 from balsamhead.mesh.model import Route, RouteKind
 
 if TYPE_CHECKING:
@@ -96,6 +97,9 @@
             service_ms=selection.candidate.request_ms,
             bound_by_objective=selection.candidate.saturated and not trace.urgent,
         )
+        if trace.nested:
+            request_ms = selection.candidate.request_ms
+            max_wait_ms = compute_nested_wait(remaining_ms=remaining_ms, service_ms=request_ms)
         trace.last_decision = Decision(selection, max_wait_ms, len(candidates))
         if selection.wait_ms > max(max_wait_ms, 0.0) and selection.wait_ms > 0:
             return Refused("upstreams-busy", min(selection.wait_ms / 1000, remaining_ms / 3000))
--- /dev/null
+++ b/balsamhead/mesh/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which requests run first, wait or are refused while demand exceeds capacity."""
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -62,11 +62,14 @@
     ("_link_manager", "_evidence", "_state_pull", "_internal_endpoints"),
     ("_upstream_index", "_rollouts", "_sync"),
     ("_upstream_selector",),
-    ("_request_router", "_rollout_exchange", "_crash_exchange"),
+    ("_request_router", "_rollout_exchange", "_crash_exchange", "_admission_exchange"),
     ("_node",),
     ("_daemon",),
     ("node",),
 )
+#: number of the layer above which the public modules of decision packages may be imported, since
+#: these import only the model
+MODEL_LAYER = LAYERS.index(("model",))
 #: mesh modules that may import the platform adapter
 ADAPTER_USERS = {
     "_request_router",
@@ -109,7 +112,8 @@
         for module in find_imports(PACKAGE / "mesh" / f"{name}.py"):
             if module.startswith("balsamhead.mesh."):
                 target = module.removeprefix("balsamhead.mesh.")
-                assert target in allowed or target == "model", (name, target)
+                is_decision = number > MODEL_LAYER and is_public_decision_module(target)
+                assert target in allowed or target == "model" or is_decision, (name, target)
 
 
 #: modules of the mesh that its sub-packages with decisions may import
@@ -123,6 +127,16 @@
     return sorted(path for path in folders if (path / "__init__.py").exists())
 
 
+def is_public_decision_module(target: str) -> bool:
+    """Return whether a module is the public one of a sub-package with decisions."""
+    package, _, module = target.partition(".")
+    return (
+        package in {path.name for path in list_decision_packages()}
+        and bool(module)
+        and not module.startswith("_")
+    )
+
+
 # Decisions that know the node or its sockets can't run in a test without a network.
 def test_decision_packages_import_neither_the_node_nor_input_and_output() -> None:
     for folder in list_decision_packages():
