Hold new requests back while the services that they call have no room

Nested calls that are refused or late show that a called service is full; more new requests would then take slots for work that can't end. The node beside an upstream counts the outcomes of its nested calls by service and limits how many requests of calling routes run at once: the limit shrinks by 0.7 when calls fail, and is gone within 2 s after the last failure. It is never set while calls end well. A request beyond the limit waits within its objective or is refused as called-service-busy; the caller's node prefers other nodes.

The queue of slots takes its order from a decision without input and output. Where accounts are in force, accounts of one priority take turns, and one in four grants goes to all accounts in turn, so that each gets a quarter of the mean share. Without accounts the order is as before: priority, then arrival.

--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -18,7 +18,12 @@
 from balsamhead.mesh._routes import RouteTable, WeightedRoundRobin
 from balsamhead.mesh._server import Reply, Request
 from balsamhead.mesh._upstream_selector import STOPPING_RETRY_AFTER_S, UpstreamSelector
-from balsamhead.mesh.admission.decisions import NESTED_PRIORITY
+from balsamhead.mesh.admission.decisions import (
+    CALLED_SERVICE_BUSY,
+    NESTED_PRIORITY,
+    TriedNodes,
+    is_late,
+)
 from balsamhead.mesh.model import Config, Route, RouteKind
 from balsamhead.platform.headers import encode_retry_after, parse_caller_headers
 from balsamhead.util.http1 import FramingError
@@ -30,7 +35,7 @@
     from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._link_manager import LinkManager
     from balsamhead.mesh._metrics import MeshMetrics
-    from balsamhead.mesh._selection import Candidate
+    from balsamhead.mesh._selection import Candidate, Selection
     from balsamhead.mesh._settings import MeshSettings
     from balsamhead.mesh._traffic_split import TrafficSplit
     from balsamhead.mesh._upstream import LocalUpstream
@@ -44,8 +49,6 @@
 _DEFAULT_DEADLINE_MS: Final = 10_000
 #: maximum number of nodes that a request is sent to, not counting those that were full
 _MAX_ATTEMPTED_NODES: Final = 3
-#: number of nodes that may refuse a request as full before it is allowed to queue at one
-_MAX_FULL_NODES: Final = 4
 #: Retry-After of a refusal when no better estimate is known, in s
 _DEFAULT_RETRY_AFTER_S: Final = 0.1
 #: Retry-After for a route that can't be read, in s; only a later configuration serves it
@@ -55,7 +58,7 @@
 #: codes of refusals after which no other upstream is tried
 _FINAL_CODES: Final = (CRASHING_REQUEST, TRIAL_RUNNING)
 #: codes of refusals by an upstream that has no room at once, but may have some soon
-_FULL_CODES: Final = ("upstream-full", "upstream-limited")
+_FULL_CODES: Final = ("upstream-full", "upstream-limited", CALLED_SERVICE_BUSY)
 #: statuses of requests that may have run, by code
 _STATUS_BY_CODE: Final = {
     "deadline-passed": 504,
@@ -114,7 +117,7 @@
     def set_config(self, config: Config) -> None:
         """Apply a configuration."""
         self._route_table = RouteTable(config)
-        self._local.nested_routes.set_config(config)
+        self._local.apply_config(config)
 
     def set_stop_deadline(self, stop_deadline: float) -> None:
         """Give each request a response before the node stops.
@@ -188,11 +191,15 @@
                 effective_route = route._replace(priority=NESTED_PRIORITY)
                 trace.queue_deadline = deadline
                 self._metrics.count("nested_calls", service)
+                self._local.called_services.record_call()
             reply = await self._forward_in_time(request, effective_route, service, deadline, trace)
         except TimeoutError:
             reply = self._fail(trace, "deadline-passed", 504)
         served = reply.status not in _UNSERVED_STATUSES
-        if not trace.nested:
+        if trace.nested:
+            late = is_late(self._loop.time() - request.received_at, route.objective_s)
+            self._local.record_nested_call(service, failed=late or not served)
+        else:
             self._fairness.record(service, route.priority, served=served)
         self._metrics.observe(
             "request_seconds", self._loop.time() - request.received_at, route.kind.value
@@ -218,20 +225,17 @@
     async def _forward(
         self, request: Request, route: Route, service: str, deadline: float, trace: RequestTrace
     ) -> Reply:
-        excluded: set[str] = set()
+        tried = TriedNodes()
         retry_after_s = _DEFAULT_RETRY_AFTER_S
         code = "no-upstream"
         failed_response: UpstreamResponse | None = None
-        full_nodes = 0
-        while len(trace.attempted_nodes) - full_nodes < _MAX_ATTEMPTED_NODES:
-            selection = self._selector.select(
-                request, route, service, excluded=excluded, deadline=deadline, trace=trace
-            )
+        while len(trace.attempted_nodes) - tried.full_count < _MAX_ATTEMPTED_NODES:
+            selection = self._select(request, route, service, tried, deadline, trace)
             if isinstance(selection, Refused):
                 code, retry_after_s = selection.code, selection.retry_after_s or retry_after_s
                 break
             node = selection.candidate.node
-            may_wait = selection.wait_ms > 0 or full_nodes >= _MAX_FULL_NODES
+            may_wait = tried.may_wait(selection.wait_ms)
             sent_at = self._loop.time()
             outcome = await self._send(
                 request, route, service, selection.candidate, deadline, trace, may_wait=may_wait
@@ -241,15 +245,15 @@
             if isinstance(outcome, Refused) and outcome.code in _FULL_CODES and not may_wait:
                 # The refusal carried the upstream's load, so the next selection takes it into
                 # account and selects another node or lets the request wait.
-                full_nodes += 1
+                tried.record_full(node, outcome.code)
                 continue
             if isinstance(outcome, UpstreamResponse):
                 if not self._may_retry_failure(outcome, request, route, service, deadline, trace):
                     return self._deliver(request, route, outcome, trace)
                 failed_response = outcome
-                excluded.add(node)
+                tried.excluded.add(node)
                 continue
-            excluded.add(node)
+            tried.excluded.add(node)
             code = outcome.code
             if isinstance(outcome, Refused):
                 retry_after_s = outcome.retry_after_s or retry_after_s
@@ -267,6 +271,27 @@
             return self._fail(trace, code, _STATUS_BY_CODE.get(code, 502))
         return self._refuse(trace, code, retry_after_s)
 
+    def _select(
+        self,
+        request: Request,
+        route: Route,
+        service: str,
+        tried: TriedNodes,
+        deadline: float,
+        trace: RequestTrace,
+    ) -> Selection | Refused:
+        while True:
+            selection = self._selector.select(
+                request,
+                route,
+                service,
+                excluded=tried.list_excluded(),
+                deadline=deadline,
+                trace=trace,
+            )
+            if not isinstance(selection, Refused) or not tried.allow_queueing():
+                return selection
+
     def _may_retry(
         self, outcome: Outcome, request: Request, route: Route, service: str, trace: RequestTrace
     ) -> bool:
--- a/balsamhead/mesh/_slot_queue.py
+++ b/balsamhead/mesh/_slot_queue.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 import logging
-from collections import Counter
-from typing import TYPE_CHECKING, Final, NamedTuple
+import math
+from typing import TYPE_CHECKING, Final
 
 from balsamhead.mesh._rate_limit import RateLimit
 from balsamhead.mesh._slot_usage import SlotUsage
+from balsamhead.mesh.admission.decisions import AdmissionQueue, QueuedRequest
 
 if TYPE_CHECKING:
+    from collections import Counter
     from collections.abc import Callable
 
     from balsamhead.mesh._metrics import MeshMetrics
@@ -25,13 +26,9 @@
 _SATURATION_S: Final = 0.5
 #: shortest delay of the timer that starts requests which wait for the rate limit, in s
 _MIN_TIMER_S: Final = 0.001
-
-
-class _Waiter(NamedTuple):
-    priority: int
-    #: order of arrival, which breaks ties between equal priorities
-    arrival_number: int
-    future: asyncio.Future[bool]
+#: interval at which free slots are offered to requests that wait for the limit of new requests, in
+#: s; the limit grows by a request in about 0.4 s
+_LIMIT_CHECK_S: Final = 0.05
 
 
 class SlotHold:
@@ -50,16 +47,25 @@
 class SlotQueue:
     """Count the slots in use, and start queued requests as slots are released."""
 
-    def __init__(self, *, count_slots: Callable[[], int], metrics: MeshMetrics) -> None:
+    def __init__(
+        self,
+        *,
+        count_slots: Callable[[], int],
+        metrics: MeshMetrics,
+        get_new_limit: Callable[[], float] = lambda: math.inf,
+    ) -> None:
         """Create an empty queue.
 
         :param count_slots: returns the number of slots; 0 while no request may start.
+        :param get_new_limit: returns how many limited requests may run at once.
         """
+        self._get_new_limit = get_new_limit
         self._count_slots = count_slots
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
-        self._queue: list[_Waiter] = []
-        self._last_arrival_number = 0
+        self._order = AdmissionQueue()
+        self._futures: dict[QueuedRequest, asyncio.Future[bool]] = {}
+        self._limit_check: asyncio.TimerHandle | None = None
         #: when a slot was last known to be free, in s of the loop's clock
         self._last_free_at = self._loop.time()
         self._limit = RateLimit()
@@ -67,9 +73,15 @@
         self._usage = SlotUsage(self._loop.time())
         #: number of slots in use
         self.running = 0
+        #: number of those that limited requests use
+        self.running_limited = 0
 
     def __len__(self) -> int:
-        return len(self._queue)
+        return len(self._order)
+
+    def set_fair(self, fair: bool) -> None:
+        """Set whether client accounts take turns."""
+        self._order.fair = fair
 
     @property
     def limit_per_s(self) -> float | None:
@@ -90,37 +102,47 @@
 
     def count_by_priority(self) -> Counter[int]:
         """Return the number of queued requests by priority."""
-        return Counter(waiter.priority for waiter in self._queue)
+        return self._order.count_by_priority()
 
-    def count_ahead(self, priority: int) -> int:
-        """Return the number of queued requests that go before a new one of this priority."""
-        return sum(1 for waiter in self._queue if waiter.priority <= priority)
+    def count_ahead(self, priority: int, account: str = "") -> int:
+        """Return the number of queued requests that go before a new one."""
+        return self._order.count_ahead(priority, account)
 
     def is_saturated(self) -> bool:
         """Return whether requests are queued and no slot has been free for some time."""
-        return bool(self._queue) and self._loop.time() - self._last_free_at > _SATURATION_S
+        return len(self._order) > 0 and self._loop.time() - self._last_free_at > _SATURATION_S
+
+    def has_limited_room(self) -> bool:
+        """Return whether the limit of new requests has room for another one."""
+        # a fraction of a request is not enough, except that one may always run
+        return self.running_limited + 1 <= max(1.0, self._get_new_limit())
 
-    def has_free_slot(self) -> bool:
+    def has_free_slot(self, *, limited: bool = False) -> bool:
         """Return whether a request would get a slot at once."""
+        limited_room = self.has_limited_room()
         free = (
-            not self._queue and self.running < self._count_slots() and self.get_limit_delay() <= 0.0
+            self._order.find_next(limited_room=limited_room) is None
+            and self.running < self._count_slots()
+            and self.get_limit_delay() <= 0.0
         )
         if free:
             self._last_free_at = self._loop.time()
-        return free
+        return free and (limited_room or not limited)
 
-    def acquire(self) -> None:
+    def acquire(self, *, limited: bool = False) -> None:
         """Use a free slot at once."""
         self._limit.try_acquire(self._loop.time())
+        self.running_limited += limited
         self._set_running(self.running + 1)
         self._record_wait(0.0, granted=True)
 
-    async def wait(self, priority: int, *, max_wait_s: float) -> bool:
+    async def wait(
+        self, priority: int, *, max_wait_s: float, account: str = "", limited: bool = False
+    ) -> bool:
         """Wait for a slot and use it; return False if none was granted in time."""
         future: asyncio.Future[bool] = self._loop.create_future()
-        self._last_arrival_number += 1
-        waiter = _Waiter(priority, self._last_arrival_number, future)
-        heapq.heappush(self._queue, waiter)
+        request = self._order.add(priority, account=account, limited=limited)
+        self._futures[request] = future
         started_at = self._loop.time()
         self.start_queued()
         timer = self._loop.call_later(max(0.0, max_wait_s), _deny, future)
@@ -130,27 +152,40 @@
             return granted
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and future.result():
-                self.release()
+                self.release(limited=limited)
             raise
         finally:
             timer.cancel()
-            self._queue = [row for row in self._queue if row is not waiter]
-            heapq.heapify(self._queue)
+            self._order.remove(request)
+            self._futures.pop(request, None)
 
     def start_queued(self) -> None:
-        """Grant free slots to queued requests, the highest priority first."""
+        """Grant free slots to queued requests, in their order."""
         now, slots = self._loop.time(), self._count_slots()
-        while self._queue and self.running < slots:
-            if self._queue[0].future.done():
-                heapq.heappop(self._queue)
+        while self.running < slots:
+            request = self._order.find_next(limited_room=self.has_limited_room())
+            if request is None:
+                break
+            future = self._futures[request]
+            if future.done():
+                self._order.remove(request)
                 continue
             if not self._limit.try_acquire(now):
                 self._schedule_start()
                 return
+            self.running_limited += request.limited
             self._set_running(self.running + 1)
-            heapq.heappop(self._queue).future.set_result(True)
+            self._order.grant(request)
+            future.set_result(True)
         if self.running < slots and self.get_limit_delay() <= 0.0:
             self._last_free_at = now
+            if len(self._order) and self._limit_check is None:
+                self._limit_check = self._loop.call_later(_LIMIT_CHECK_S, self._check_limit)
+
+    def _check_limit(self) -> None:
+        """Start limited requests once the limit has grown."""
+        self._limit_check = None
+        self.start_queued()
 
     def _schedule_start(self) -> None:
         if self._limit_timer is None:
@@ -163,13 +198,14 @@
 
     def deny_all(self, code: str) -> None:
         """Deny a slot to all queued requests."""
-        if self._queue:
-            logger.info("waiting-refused", extra={"code": code, "requests": len(self._queue)})
-        for waiter in self._queue:
-            _deny(waiter.future)
+        if len(self._order):
+            logger.info("waiting-refused", extra={"code": code, "requests": len(self._order)})
+        for future in self._futures.values():
+            _deny(future)
 
-    def release(self) -> None:
+    def release(self, *, limited: bool = False) -> None:
         """Release a slot in use."""
+        self.running_limited -= limited
         self._set_running(self.running - 1)
         self.start_queued()
 
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from typing import TYPE_CHECKING, Final, NamedTuple
 
@@ -26,7 +27,9 @@
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
 from balsamhead.mesh._upstream_statistics import UpstreamStatistics
 from balsamhead.mesh.admission.decisions import (
+    CALLED_SERVICE_BUSY,
     NESTED_PRIORITY,
+    CalledServices,
     NestedRoutes,
     compute_nested_wait,
 )
@@ -38,7 +41,7 @@
     from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._metrics import MeshMetrics
     from balsamhead.mesh._upstream_connection import UpstreamConnection
-    from balsamhead.mesh.model import Departure
+    from balsamhead.mesh.model import Config, Departure
 
 __all__ = ("CallResult", "LocalUpstream")
 
@@ -57,6 +60,10 @@
 _MAX_RETRY_AFTER_S: Final = 0.3
 #: lower bound of a refusal's Retry-After, in s
 _MIN_RETRY_AFTER_S: Final = 0.03
+#: the upper bound where a called service has no room, in s; it takes longer to get some
+_MAX_BUSY_RETRY_AFTER_S: Final = 1.0
+#: shortest interval between two log lines on refusals for lack of room at called services, in s
+_BUSY_LOG_INTERVAL_S: Final = 1.0
 
 
 class CallResult(NamedTuple):
@@ -94,7 +101,12 @@
         self._on_result = on_result
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
-        self._slots = SlotQueue(count_slots=self._count_slots, metrics=metrics)
+        #: services that the upstream calls, and the limit of new requests that follows from them
+        self.called_services = CalledServices()
+        self._slots = SlotQueue(
+            count_slots=self._count_slots, metrics=metrics, get_new_limit=self.get_new_limit
+        )
+        self._busy_logged_at = -math.inf
         self._announced_at = 0.0
         self._slow_start_ends_at = 0.0
         self._unavailable_until = 0.0
@@ -115,6 +127,11 @@
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
 
+    def apply_config(self, config: Config) -> None:
+        """Apply what a configuration says about nested calls and client accounts."""
+        self.nested_routes.set_config(config)
+        self._slots.set_fair(config.accounts is not None)
+
     # -- record ------------------------------------------------------------------------------
 
     def apply_announcement(self, record: UpstreamRecord) -> bool:
@@ -317,20 +334,21 @@
         self.nested_routes.record(call.route, call.caller_service, now)
         if call.nested or self.nested_routes.is_nested(call.route, now):
             call = call._replace(nested=True, priority=NESTED_PRIORITY)
+        limited = self._is_limited(call)
         refusal = self._check_admission(call) or self._check_crashes(call, body)
         if refusal is not None:
             return refusal
-        if self._slots.has_free_slot():
-            self._slots.acquire()
-        elif not await self._wait_for_slot(call):
-            return self._refuse("upstream-busy")
+        if self._slots.has_free_slot(limited=limited):
+            self._slots.acquire(limited=limited)
+        elif not await self._wait_for_slot(call, limited=limited):
+            return self._refuse_for_room("upstream-busy", call)
         if call.route_kind is RouteKind.ONCE:
             # A request that must run at most once is not cancelled when its caller disconnects.
-            task = self._loop.create_task(self._exchange(call, body, rest, deadline))
+            task = self._loop.create_task(self._exchange(call, body, rest, deadline, limited))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             return await asyncio.shield(task)
-        return await self._exchange(call, body, rest, deadline)
+        return await self._exchange(call, body, rest, deadline, limited)
 
     def _check_admission(self, call: Call) -> Refused | None:
         record = self.record
@@ -338,17 +356,55 @@
             return self._refuse("upstream-unavailable")
         if record.service != call.service or (call.version and call.version != record.version):
             return self._refuse("upstream-other")
-        if self._slots.has_free_slot():
+        if self._slots.has_free_slot(limited=self._is_limited(call)):
             return None
         limited = self.running < record.slots and self._slots.get_limit_delay() > 0.0
         if call.queue_timeout_ms <= 0:
-            return self._refuse("upstream-limited" if limited else "upstream-full")
-        if self._estimate_wait(self._slots.count_ahead(call.priority)) > self._compute_max_wait(
-            call
-        ):
-            return self._refuse("upstream-busy")
+            return self._refuse_for_room("upstream-limited" if limited else "upstream-full", call)
+        ahead = self._slots.count_ahead(call.priority, call.account)
+        if self._estimate_wait(ahead, call) > self._compute_max_wait(call):
+            return self._refuse_for_room("upstream-busy", call)
         return None
 
+    def _is_limited(self, call: Call) -> bool:
+        return not call.nested and self.called_services.is_calling(call.route)
+
+    def get_new_limit(self) -> float:
+        """Return how many requests of calling routes may run at once; infinite for no limit."""
+        return self.called_services.get_limit(self._count_slots(), self._loop.time())
+
+    def record_nested_call(self, service: str, *, failed: bool) -> None:
+        """Record the end of a call that the upstream made while it ran a request."""
+        self.called_services.record_outcome(
+            service,
+            failed=failed,
+            running=self._slots.running_limited,
+            slots=self._count_slots(),
+            now=self._loop.time(),
+        )
+
+    def _refuse_for_room(self, code: str, call: Call) -> Refused:
+        """Refuse a call for lack of room here, or at a service that it would call."""
+        if not self._is_limited(call) or self._slots.has_limited_room():
+            return self._refuse(code)
+        service, limit = self.called_services.describe(self._count_slots(), self._loop.time())
+        self._metrics.count("called_service_busy", service)
+        if self._loop.time() - self._busy_logged_at >= _BUSY_LOG_INTERVAL_S:
+            self._busy_logged_at = self._loop.time()
+            logger.info(
+                "called-service-busy",
+                extra={
+                    "id": call.request_id.decode("latin-1"),
+                    "route": call.route,
+                    "called": service,
+                    "limit": round(limit, 2),
+                    "running": self._slots.running_limited,
+                },
+            )
+        wait_s = self._estimate_wait(len(self._slots), call) / 1000
+        retry_after_s = min(_MAX_BUSY_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
+        return Refused(CALLED_SERVICE_BUSY, retry_after_s, self.get_load())
+
     def _check_crashes(self, call: Call, body: bytes) -> Refused | None:
         refusal = self.crash_guard.check(call, body)
         if refusal is not None and refusal.code in TRIAL_CODES:
@@ -357,9 +413,11 @@
             )
         return refusal and refusal._replace(load=self.get_load())
 
-    def _estimate_wait(self, ahead: int) -> float:
+    def _estimate_wait(self, ahead: int, call: Call | None = None) -> float:
         """Return the expected wait of a request for a slot behind others, in ms."""
-        slots = self.record.slots if self.record else 1
+        slots: float = self.record.slots if self.record else 1
+        if call is not None and self._is_limited(call):
+            slots = min(slots, max(1.0, self.get_new_limit()))
         slot_wait_ms = (ahead + 1) * self.service_ms / slots
         return max(slot_wait_ms, self._slots.get_limit_delay(ahead=ahead) * 1000)
 
@@ -374,7 +432,11 @@
             queue_timeout_ms=call.queue_timeout_ms,
             remaining_ms=call.remaining_ms,
             service_ms=self._statistics.get_route_ms(call.route),
-            bound_by_objective=self._slots.is_saturated() and not call.urgent,
+            bound_by_objective=not call.urgent
+            and (
+                self._slots.is_saturated()
+                or (self._is_limited(call) and self.get_new_limit() < math.inf)
+            ),
         )
 
     def _refuse(self, code: str) -> Refused:
@@ -382,14 +444,19 @@
         retry_after_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
         return Refused(code, retry_after_s, self.get_load())
 
-    async def _wait_for_slot(self, call: Call) -> bool:
+    async def _wait_for_slot(self, call: Call, *, limited: bool) -> bool:
         max_wait_s = self._compute_max_wait(call) / 1000
-        return await self._slots.wait(call.priority, max_wait_s=max_wait_s)
+        return await self._slots.wait(
+            call.priority,
+            max_wait_s=max_wait_s,
+            account=call.account,
+            limited=limited,
+        )
 
     async def _exchange(
-        self, call: Call, body: bytes, rest: BodyRest | None, deadline: float
+        self, call: Call, body: bytes, rest: BodyRest | None, deadline: float, limited: bool
     ) -> Outcome:
-        slot_hold = SlotHold(self._slots.release)
+        slot_hold = SlotHold(lambda: self._slots.release(limited=limited))
         try:
             conn = await self._connect(call)
             if conn is None:
@@ -430,12 +497,15 @@
         timer = self._loop.call_at(deadline, conn.cancel, call, "deadline-passed")
 
         running = self.crash_guard.start(call, body)
+        calls_before = self.called_services.call_count
 
         def finish(outcome: Outcome) -> None:
             timer.cancel()
             self._connections.release(conn)
             slot_hold.release()
             self.crash_guard.finish(running, outcome)
+            if not call.nested:
+                self.called_services.record_request(call.route, calls_before=calls_before)
 
         future = conn.send(
             call,
--- a/balsamhead/mesh/admission/decisions.py
+++ b/balsamhead/mesh/admission/decisions.py
@@ -2,18 +2,36 @@
 
 from __future__ import annotations
 
+from balsamhead.mesh.admission._called_services import (
+    CALLED_SERVICE_BUSY,
+    CalledServices,
+    is_late,
+)
 from balsamhead.mesh.admission._nested_routes import (
     ANNOUNCE_INTERVAL_S,
     NESTED_PRIORITY,
     NestedRoutes,
     compute_nested_wait,
 )
+from balsamhead.mesh.admission._queue import (
+    ACCOUNT_PRIORITY_STEP,
+    AdmissionQueue,
+    QueuedRequest,
+)
 from balsamhead.mesh.admission._terms import has_demanding_terms
+from balsamhead.mesh.admission._tried_nodes import TriedNodes
 
 __all__ = (
+    "ACCOUNT_PRIORITY_STEP",
     "ANNOUNCE_INTERVAL_S",
+    "CALLED_SERVICE_BUSY",
     "NESTED_PRIORITY",
+    "AdmissionQueue",
+    "CalledServices",
     "NestedRoutes",
+    "QueuedRequest",
+    "TriedNodes",
     "compute_nested_wait",
     "has_demanding_terms",
+    "is_late",
 )
--- /dev/null
+++ b/tests/test_mesh/test_called_services.py
@@ -0,0 +1,102 @@
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from balsamhead.mesh.admission.decisions import (
+    CALLED_SERVICE_BUSY,
+    CalledServices,
+    TriedNodes,
+    is_late,
+)
+
+SLOTS = 5
+
+
+def record(
+    services: CalledServices, outcomes: str, *, start: float = 0.0, gap_s: float = 0.02
+) -> float:
+    """Record outcomes of nested calls: "x" for a failed one, "." for one that ended well."""
+    now = start
+    for outcome in outcomes:
+        now += gap_s
+        services.record_call()
+        services.record_outcome("vault", failed=outcome == "x", running=SLOTS, slots=SLOTS, now=now)
+    return now
+
+
+def test_nothing_is_limited_while_nested_calls_end_well() -> None:
+    services = CalledServices()
+    for round_number in range(100):
+        now = record(services, "." * 50, start=float(round_number))
+        assert services.get_limit(SLOTS, now) == math.inf
+
+
+# Single failures have other causes, as the end of an upstream.
+def test_single_failure_limits_nothing() -> None:
+    services = CalledServices()
+    now = record(services, "." * 100 + "x" + "." * 100 + "x")
+    assert services.get_limit(SLOTS, now) == math.inf
+
+
+def test_failed_calls_limit_new_requests_down_to_one() -> None:
+    services = CalledServices()
+    now = record(services, "x" * 10)
+    limit = services.get_limit(SLOTS, now)
+    assert limit < SLOTS
+    now = record(services, "x" * 200, start=now)
+    assert services.get_limit(SLOTS, now) == pytest.approx(1.0, abs=0.1)
+    assert services.describe(SLOTS, now).service == "vault"
+
+
+def test_limit_ends_within_two_seconds_after_the_last_failure() -> None:
+    services = CalledServices()
+    now = record(services, "x" * 200)
+    assert services.get_limit(SLOTS, now + 0.5) < SLOTS
+    assert services.get_limit(SLOTS, now + 2.0) == math.inf
+
+
+# The decrease counted the outcomes of calls that had begun before it.
+def test_burst_of_failures_decreases_the_limit_once() -> None:
+    services = CalledServices()
+    now = record(services, "x" * 10, gap_s=0.001)
+    assert services.get_limit(SLOTS, now) == pytest.approx(0.7 * SLOTS)
+
+
+def test_only_routes_whose_requests_make_calls_are_limited() -> None:
+    services = CalledServices()
+    for _ in range(20):
+        before = services.call_count
+        services.record_call()
+        services.record_request("calling", calls_before=before)
+        services.record_request("leaf", calls_before=services.call_count)
+    assert services.is_calling("calling")
+    assert not services.is_calling("leaf")
+    assert not services.is_calling("unknown")
+
+
+def test_call_is_late_at_twice_its_objective() -> None:
+    assert not is_late(0.5, 0.29)
+    assert is_late(0.6, 0.29)
+
+
+def test_limiting_nodes_are_left_out_until_none_remains() -> None:
+    tried = TriedNodes()
+    tried.record_full("node-1", CALLED_SERVICE_BUSY)
+    assert tried.list_excluded() == {"node-1"}
+    assert not tried.may_wait(0.0)
+    # no other node takes the request: it may wait at this one
+    assert tried.allow_queueing()
+    assert tried.list_excluded() == set()
+    assert tried.may_wait(0.0)
+    assert not tried.allow_queueing()
+
+
+def test_full_nodes_may_be_selected_again() -> None:
+    tried = TriedNodes()
+    for _ in range(4):
+        assert not tried.may_wait(0.0)
+        tried.record_full("node-1", "upstream-full")
+    assert tried.list_excluded() == set()
+    assert tried.may_wait(0.0)
