Keep a slot for nested calls, describe admission, and measure its goodput

Services that call each other can hold all slots of one while they wait for slots of the other; outcomes of calls show it only at their deadlines. One slot is kept from requests of calling routes for 10 s after a nested call had to wait. Requests of a starved account priority are sent although the caller's node expects too long a wait, since the load doesn't show turns of accounts; they are raised to the top of their own account's priority only.

--- a/balsamhead/mesh/_fairness.py
+++ b/balsamhead/mesh/_fairness.py
@@ -30,10 +30,23 @@
         """Return whether requests with a lower priority have been sent to the same service."""
         return any(other > priority for other in self._served_shares.get(service, ()))
 
-    def get_effective_priority(self, service: str, priority: int) -> int:
-        """Return the priority for the next request: its own, or the highest if it is starved."""
+    def is_starved(self, service: str, priority: int) -> bool:
+        """Return whether requests of a priority are served far less often than others."""
         shares = self._served_shares.get(service)
         if shares is None or len(shares) < 2:
+            return False
+        return shares.get(priority, 1.0) < _STARVATION_RATIO * max(shares.values())
+
+    def get_effective_priority(
+        self, service: str, priority: int, *, priorities_per_account: int | None = None
+    ) -> int:
+        """Return the priority for the next request: its own, or the highest if it is starved.
+
+        :param priorities_per_account: priorities of routes within one of an account, which is not
+            left; None if there are no accounts.
+        """
+        if not self.is_starved(service, priority):
             return priority
-        starved = shares.get(priority, 1.0) < _STARVATION_RATIO * max(shares.values())
-        return _TOP_PRIORITY if starved else priority
+        if priorities_per_account is None:
+            return _TOP_PRIORITY
+        return priority - priority % priorities_per_account
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -462,6 +462,7 @@
         register_gauge("store_era", lambda: {"": self._store.era})
         register_gauge("requests_running", lambda: {"": self._local_upstream.running})
         register_gauge("requests_waiting", lambda: {"": self._local_upstream.get_load().waiting})
+        register_gauge("new_requests_limit", self._local_upstream.describe_new_limit)
         register_gauge("requests_suspected", lambda: {"": len(self._crash_registry)})
         register_gauge(
             "requests_refused_for_crashes", lambda: {"": self._crash_registry.count_refused()}
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -19,6 +19,7 @@
 from balsamhead.mesh._server import Reply, Request
 from balsamhead.mesh._upstream_selector import STOPPING_RETRY_AFTER_S, UpstreamSelector
 from balsamhead.mesh.admission.decisions import (
+    ACCOUNT_PRIORITY_STEP,
     CALLED_SERVICE_BUSY,
     NESTED_PRIORITY,
     TriedNodes,
@@ -105,6 +106,8 @@
         self._loop = asyncio.get_running_loop()
         self._round_robin = WeightedRoundRobin()
         self._route_table: RouteTable | None = None
+        #: priorities of routes within one of an account; None without accounts
+        self._priorities_per_account: int | None = None
         self._response_count = 0
         self._fairness = PriorityFairness()
         self._prior_attempt_time = PriorAttemptTime()
@@ -118,6 +121,7 @@
         """Apply a configuration."""
         self._route_table = RouteTable(config)
         self._local.apply_config(config)
+        self._priorities_per_account = None if config.accounts is None else ACCOUNT_PRIORITY_STEP
 
     def set_stop_deadline(self, stop_deadline: float) -> None:
         """Give each request a response before the node stops.
@@ -184,7 +188,13 @@
                 urgent=trace.urgent,
             )
             effective_route = route._replace(
-                priority=self._fairness.get_effective_priority(service, route.priority)
+                priority=self._fairness.get_effective_priority(
+                    service, route.priority, priorities_per_account=self._priorities_per_account
+                )
+            )
+            # The node of the upstream counts the turns of accounts, which its load doesn't show.
+            trace.starved = self._priorities_per_account is not None and self._fairness.is_starved(
+                service, route.priority
             )
             trace.nested = self._local.nested_routes.is_nested(route.name, self._loop.time())
             if trace.nested:
--- a/balsamhead/mesh/_request_trace.py
+++ b/balsamhead/mesh/_request_trace.py
@@ -62,6 +62,7 @@
         "queue_deadline",
         "request_id",
         "route",
+        "starved",
         "urgent",
     )
 
@@ -79,6 +80,8 @@
         self.may_have_run = False
         #: an upstream makes the request while it runs another one
         self.nested = False
+        #: requests of its priority are starved, and only the upstream's node may refuse it as busy
+        self.starved = False
         #: requests with a lower priority are sent to the same service
         self.urgent = False
         #: when the latency objective is missed, in s of the loop's clock
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -335,6 +335,8 @@
         if call.nested or self.nested_routes.is_nested(call.route, now):
             call = call._replace(nested=True, priority=NESTED_PRIORITY)
         limited = self._is_limited(call)
+        if call.nested and not self._slots.has_free_slot():
+            self.called_services.record_wait(now)
         refusal = self._check_admission(call) or self._check_crashes(call, body)
         if refusal is not None:
             return refusal
@@ -373,6 +375,12 @@
         """Return how many requests of calling routes may run at once; infinite for no limit."""
         return self.called_services.get_limit(self._count_slots(), self._loop.time())
 
+    def describe_new_limit(self) -> dict[str, float]:
+        """Return the limit of new requests, if there is one, by the called service behind it."""
+        slots, now = self._count_slots(), self._loop.time()
+        service, limit = self.called_services.describe(slots, now)
+        return {} if limit == math.inf else {service: limit}
+
     def record_nested_call(self, service: str, *, failed: bool) -> None:
         """Record the end of a call that the upstream made while it ran a request."""
         self.called_services.record_outcome(
@@ -435,7 +443,7 @@
             bound_by_objective=not call.urgent
             and (
                 self._slots.is_saturated()
-                or (self._is_limited(call) and self.get_new_limit() < math.inf)
+                or (self._is_limited(call) and not self._slots.has_limited_room())
             ),
         )
 
--- a/balsamhead/mesh/_upstream_selector.py
+++ b/balsamhead/mesh/_upstream_selector.py
@@ -101,7 +101,8 @@
             request_ms = selection.candidate.request_ms
             max_wait_ms = compute_nested_wait(remaining_ms=remaining_ms, service_ms=request_ms)
         trace.last_decision = Decision(selection, max_wait_ms, len(candidates))
-        if selection.wait_ms > max(max_wait_ms, 0.0) and selection.wait_ms > 0:
+        too_long = selection.wait_ms > max(max_wait_ms, 0.0) and selection.wait_ms > 0
+        if too_long and not trace.starved:
             return Refused("upstreams-busy", min(selection.wait_ms / 1000, remaining_ms / 3000))
         return selection
 
--- a/balsamhead/mesh/admission/_called_services.py
+++ b/balsamhead/mesh/admission/_called_services.py
@@ -26,6 +26,10 @@
 _HOLD_S: Final = 0.2
 #: time in which the limit grows from nothing to all slots, in s
 _RECOVERY_S: Final = 2.0
+#: time for which a slot is kept for nested calls after one of them had to wait here, in s
+_RESERVATION_S: Final = 10.0
+#: what a refusal names as its cause if only the kept slot stands behind it
+_RESERVED: Final = "reserved"
 #: weight of a new request in the share of a route's requests that make calls
 _CALLING_WEIGHT: Final = 0.1
 #: share of a route's requests that make calls above which the route is limited
@@ -79,7 +83,8 @@
         self._limit = math.inf
         self._limited_at = -math.inf
         self._grows_from = -math.inf
-        self._cause = ""
+        self._cause = _RESERVED
+        self._reserved_until = -math.inf
 
     @property
     def call_count(self) -> int:
@@ -116,14 +121,27 @@
         outcomes.add(now, failed=failed)
         if not failed or not outcomes.show_lack_of_room():
             return
-        limit = self.get_limit(slots, now)
+        limit = self._get_adaptive_limit(slots, now)
         if now - self._limited_at >= _DECREASE_INTERVAL_S:
             limit = max(1.0, min(limit, max(running, 1)) * _DECREASE)
             self._limited_at = now
         self._limit, self._grows_from, self._cause = limit, now + _HOLD_S, service
 
+    def record_wait(self, now: float) -> None:
+        """Record that a nested call has to wait for a slot of this upstream.
+
+        If services call each other, the requests that hold all slots here may be waiting for it.
+        One slot is therefore kept from requests that make calls.
+        """
+        self._reserved_until = now + _RESERVATION_S
+
     def get_limit(self, slots: int, now: float) -> float:
         """Return how many requests of calling routes may run at once; infinite for no limit."""
+        limit = self._get_adaptive_limit(slots, now)
+        reserved = now < self._reserved_until and slots > 1
+        return min(limit, slots - 1.0) if reserved else limit
+
+    def _get_adaptive_limit(self, slots: int, now: float) -> float:
         if self._limit == math.inf:
             return math.inf
         limit = self._limit + max(0.0, now - self._grows_from) * slots / _RECOVERY_S
@@ -133,4 +151,5 @@
 
     def describe(self, slots: int, now: float) -> LimitDescription:
         """Return the limit and the service that caused it."""
-        return LimitDescription(self._cause, self.get_limit(slots, now))
+        adaptive = self._get_adaptive_limit(slots, now) < math.inf
+        return LimitDescription(self._cause if adaptive else _RESERVED, self.get_limit(slots, now))
--- a/tests/test_mesh/test_called_services.py
+++ b/tests/test_mesh/test_called_services.py
@@ -100,3 +100,21 @@
         tried.record_full("node-1", "upstream-full")
     assert tried.list_excluded() == set()
     assert tried.may_wait(0.0)
+
+
+# Requests that hold all slots here may wait for calls that need one of these slots.
+def test_slot_is_kept_for_nested_calls_once_one_had_to_wait() -> None:
+    services = CalledServices()
+    services.record_wait(1.0)
+    assert services.get_limit(SLOTS, 2.0) == SLOTS - 1
+    assert services.get_limit(1, 2.0) == math.inf
+    assert services.describe(SLOTS, 2.0).service == "reserved"
+    assert services.get_limit(SLOTS, 12.0) == math.inf
+
+
+def test_kept_slot_does_not_hide_the_service_that_has_no_room() -> None:
+    services = CalledServices()
+    now = record(services, "x" * 50)
+    services.record_wait(now)
+    assert services.get_limit(SLOTS, now) < SLOTS - 1
+    assert services.describe(SLOTS, now).service == "vault"
--- a/tests/test_mesh/test_fairness.py
+++ b/tests/test_mesh/test_fairness.py
@@ -31,3 +31,15 @@
     assert fairness.get_effective_priority("desk", 2) == 2
     assert fairness.is_urgent("desk", 1)
     assert not fairness.is_urgent("desk", 2)
+
+
+# A starved account must not go before accounts of a higher priority.
+def test_starved_priority_is_raised_within_that_of_its_account() -> None:
+    fairness = PriorityFairness()
+    for _ in range(10):
+        fairness.record("desk", 1, served=True)
+        fairness.record("desk", 35, served=False)
+    assert fairness.is_starved("desk", 35)
+    assert not fairness.is_starved("desk", 1)
+    assert fairness.get_effective_priority("desk", 35, priorities_per_account=16) == 32
+    assert fairness.get_effective_priority("desk", 1, priorities_per_account=16) == 1
