Name the called service's lack of room as the cause of a refusal

When every node held a request back, the caller's node logged that all upstreams were excluded. It now reports called-service-busy with the Retry-After of the refusal. Names of services and routes in messages of peers no longer enlarge what is learned.

--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -300,7 +300,10 @@
                 trace=trace,
             )
             if not isinstance(selection, Refused) or not tried.allow_queueing():
-                return selection
+                break
+        if isinstance(selection, Refused) and selection.code == "upstreams-excluded":
+            return selection._replace(code=tried.held_back_code or selection.code)
+        return selection
 
     def _may_retry(
         self, outcome: Outcome, request: Request, route: Route, service: str, trace: RequestTrace
--- a/balsamhead/mesh/admission/_called_services.py
+++ b/balsamhead/mesh/admission/_called_services.py
@@ -98,6 +98,8 @@
             time can't be told apart; a route that makes none is seen to run without any.
         """
         calls = self._calls > calls_before
+        if not calls and route not in self._calling_shares:
+            return
         share = self._calling_shares.get(route, 0.0)
         self._calling_shares[route] = share + _CALLING_WEIGHT * (calls - share)
 
--- a/balsamhead/mesh/admission/_nested_routes.py
+++ b/balsamhead/mesh/admission/_nested_routes.py
@@ -88,6 +88,7 @@
 
     def __init__(self) -> None:
         self._routes: dict[str, Route] = {}
+        self._services: frozenset[str] = frozenset()
         self._public: frozenset[str] | None = None
         self._learns = False
         self._samples: dict[str, _Samples] = {}
@@ -98,6 +99,7 @@
     def set_config(self, config: Config) -> None:
         """Apply a configuration; what has been learned of its routes is kept."""
         self._routes = config.routes
+        self._services = frozenset(config.services)
         self._public = None
         if config.accounts is not None:
             self._public = frozenset(row.name for row in config.routes.values() if row.public)
@@ -115,7 +117,7 @@
 
     def record(self, route: str, caller_service: str, now: float) -> None:
         """Record the service of the VM that a request came from, at the upstream's node."""
-        if not self._learns or route not in self._routes:
+        if not self._learns or route not in self._routes or caller_service not in self._services:
             return
         samples = self._samples.get(route)
         if samples is None:
--- a/balsamhead/mesh/admission/_tried_nodes.py
+++ b/balsamhead/mesh/admission/_tried_nodes.py
@@ -20,6 +20,8 @@
         self.excluded: set[str] = set()
         #: number of refusals by nodes that had no room at once
         self.full_count = 0
+        #: code of a refusal for lack of room at a called service; empty if there was none
+        self.held_back_code = ""
         #: nodes that hold the request back until a service that it would call has room
         self._limiting: set[str] = set()
         self._queues = False
@@ -42,6 +44,7 @@
         """
         self.full_count += 1
         if code == CALLED_SERVICE_BUSY:
+            self.held_back_code = code
             self._limiting.add(node)
         if self.full_count >= _MAX_FULL_NODES:
             self._limiting.clear()
--- a/tests/test_mesh/test_admission_queue.py
+++ b/tests/test_mesh/test_admission_queue.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import Counter
 
@@ -10,6 +11,7 @@
     NESTED_PRIORITY,
     AdmissionQueue,
 )
+from tests.test_mesh.builders import NODE_1, make_config, run_virtual, start_cluster
 
 
 def drain(queue: AdmissionQueue, *, limited_room: bool = True) -> list[int]:
@@ -142,3 +144,20 @@
     queue.remove(request)
     queue.remove(request)
     assert drain(queue) == []
+
+
+# The turns must not apply where the configuration has no accounts, nor be forgotten where it has.
+def test_queue_of_an_upstream_is_fair_only_with_accounts() -> None:
+    async def main() -> None:
+        cluster, _ = await start_cluster(NODE_1)
+        slots = cluster.members[1].node._local_upstream._slots
+        for version, accounts, ahead in ((2, None, 6), (3, {}, 1)):
+            raw = make_config(version) | ({} if accounts is None else {"tenants": accounts})
+            cluster.store.put("keyed.op", "config", raw)
+            await asyncio.sleep(2.0)
+            rows = [slots._order.add(2, account="greedy") for _ in range(6)]
+            assert slots.count_ahead(2, "modest") == ahead
+            for row in rows:
+                slots._order.remove(row)
+
+    run_virtual(main)
--- a/tests/test_mesh/test_called_services.py
+++ b/tests/test_mesh/test_called_services.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import math
 
 import pytest
@@ -10,6 +11,15 @@
     TriedNodes,
     is_late,
 )
+from tests.test_mesh.builders import (
+    NODE_1,
+    NODE_3,
+    Response,
+    make_config,
+    make_route,
+    run_virtual,
+    start_cluster,
+)
 
 SLOTS = 5
 
@@ -118,3 +128,54 @@
     services.record_wait(now)
     assert services.get_limit(SLOTS, now) < SLOTS - 1
     assert services.describe(SLOTS, now).service == "vault"
+
+
+# Requests whose calls found no room took slots and failed with a 500 after their work was done.
+def test_new_requests_are_refused_truly_while_their_calls_find_no_room(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+
+    async def main() -> None:
+        call = make_route(
+            path_prefix="/call/", service="registry", timeout="300ms", target_latency="50ms"
+        )
+        config = make_config(1, call=call)
+        config["services"]["registry"] |= {"cold_start": "5000ms", "cold_per_s": 20.0}
+        cluster, send_request = await start_cluster(NODE_1, NODE_3, config=config)
+        local = cluster.members[1].node._local_upstream
+        cluster.members[1].upstream.service_time_s = 0.2
+        cluster.members[3].upstream.service_time_s = 0.5
+        local.nested_routes.record_told("call", asyncio.get_running_loop().time())
+
+        async def buy() -> Response:
+            parent = asyncio.create_task(send_request(NODE_1, "/check/1"))
+            await asyncio.sleep(0.05)
+            await send_request(NODE_1, "/call/1", deadline_ms=300)
+            return await parent
+
+        for _ in range(10):
+            await asyncio.gather(buy(), buy(), buy())
+        assert local.called_services.is_calling("check")
+        assert local.get_new_limit() < cluster.members[1].upstream.slots
+        runs = len(cluster.members[1].upstream.requests)
+        responses = await asyncio.gather(*(send_request(NODE_1, "/check/2") for _ in range(8)))
+        refused = [row for row in responses if row.status == 503]
+        assert refused
+        assert all(float(row.headers[b"retry-after"][0]) > 0 for row in refused)
+        # what was refused has not run
+        served = len(cluster.members[1].upstream.requests) - runs
+        assert served == len(responses) - len(refused) >= 1
+        codes = [row.__dict__.get("code") for row in caplog.records]
+        assert codes.count("called-service-busy") >= len(refused)
+        # the upstream's node logs one a second, the first of them while the limit came into force
+        lines = [row.__dict__ for row in caplog.records if row.message == "called-service-busy"]
+        assert lines
+        assert all(row["called"] == "registry" and row["limit"] < 4 for row in lines)
+        # the limit is gone soon after the last failure
+        await asyncio.sleep(2.5)
+        assert local.get_new_limit() == math.inf
+        responses = await asyncio.gather(*(send_request(NODE_1, "/check/3") for _ in range(4)))
+        assert [row.status for row in responses] == [200] * 4
+
+    run_virtual(main)
--- a/tests/test_mesh/test_nested_calls.py
+++ b/tests/test_mesh/test_nested_calls.py
@@ -195,6 +195,16 @@
     assert learner.is_nested("inner", now)
 
 
+# Names in messages of peers must not make the samples grow.
+def test_callers_of_unknown_services_are_not_counted() -> None:
+    learner = make_learner(make_model_config())
+    now = feed(learner, {"inner": (0, 1, 0), "outer": (1, 1, 1)}, count=200)
+    for number in range(1000):
+        learner.record("inner", f"unknown-{number}", now)
+    assert learner.is_nested("inner", now)
+    assert learner.list_callers("inner") == {"registry"}
+
+
 def test_what_peers_say_expires() -> None:
     learner = make_learner(make_model_config())
     learner.record_told("inner", 100.0)
