--- a/balsamhead/mesh/_frames.py
+++ b/balsamhead/mesh/_frames.py
@@ -78,6 +78,8 @@
     # tokens of an account's quota, requested from its owner
     QUOTA_REQUEST = 44
     QUOTA_GRANT = 45
+    # a route whose requests are nested calls; nodes that don't know the kind reject it and go on
+    ADMISSION = 46
 
 
 class Frame(NamedTuple):
--- a/balsamhead/mesh/_model.py
+++ b/balsamhead/mesh/_model.py
@@ -9,6 +9,7 @@
 
 __all__ = (
     "MAX_INTEGER",
+    "ROUTE_PRIORITIES",
     "Account",
     "ColdStart",
     "Config",
@@ -38,6 +39,8 @@
 
 #: largest number in a record that another process has written
 MAX_INTEGER: Final = (1 << 63) - 1
+#: priorities of routes that are told apart within one priority of a client account
+ROUTE_PRIORITIES: Final = 16
 
 
 class RouteKind(StrEnum):
--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 from balsamhead.errors import LogError, MalformedMessageError
+from balsamhead.mesh._admission_exchange import AdmissionExchange
 from balsamhead.mesh._budget import RetryBudget
 from balsamhead.mesh._crash_archive import CrashArchive
 from balsamhead.mesh._crash_exchange import CrashExchange
@@ -135,6 +136,9 @@
             ColdReason.EVACUATION
         )
         self._link_manager = LinkManager(self._own_record, self, rng=rng)
+        self._admission_exchange = AdmissionExchange(
+            self._local_upstream.nested_routes, link_manager=self._link_manager
+        )
         self._crash_exchange = CrashExchange(self._crash_registry, link_manager=self._link_manager)
         self._refusal_archive = RefusalArchive(self._crash_registry, records)
         self._crash_archive = CrashArchive(cfg.node, self._crash_registry, records)
@@ -432,6 +436,7 @@
             return await task
         finally:
             self._link_manager.announce_load()
+            self._admission_exchange.call_received(call)
 
     def run_call(self, call: Call, body: bytes, rest: BodyRest | None) -> Awaitable[Outcome]:
         """Run a call of a peer on this node's upstream."""
@@ -488,6 +493,9 @@
             FrameKind.WITHDRAWN: lambda _, link, frame: self._rollouts.handle_withdrawn(
                 frame, link
             ),
+            FrameKind.ADMISSION: lambda _, link, frame: (
+                self._admission_exchange.handle_nested_route(link, frame)
+            ),
             FrameKind.CRASHES: lambda _, link, frame: self._crash_exchange.handle_crashes(
                 link, frame
             ),
@@ -537,6 +545,7 @@
         register_gauge("key_proof_age_seconds", self._freshness.read_gauge)
         register_gauge("requests_running", lambda: {"": self._local_upstream.running})
         register_gauge("requests_waiting", lambda: {"": self._local_upstream.get_load().waiting})
+        register_gauge("new_requests_limit", self._local_upstream.describe_new_limit)
         register_gauge("requests_suspected", lambda: {"": len(self._crash_registry)})
         register_gauge(
             "requests_refused_for_crashes", lambda: {"": self._crash_registry.count_refused()}
--- a/balsamhead/mesh/_request_trace.py
+++ b/balsamhead/mesh/_request_trace.py
@@ -60,10 +60,12 @@
         "key_digest_prefix",
         "last_decision",
         "may_have_run",
+        "nested",
         "objective_deadline",
         "queue_deadline",
         "request_id",
         "route",
+        "starved",
         "urgent",
     )
 
@@ -83,6 +85,10 @@
         self.deliveries = 0
         #: an upstream may have run the request
         self.may_have_run = False
+        #: an upstream makes the request while it runs another one
+        self.nested = False
+        #: requests of its priority are starved, and only the upstream's node may refuse it as busy
+        self.starved = False
         #: requests with a lower priority are sent to the same service
         self.urgent = False
         #: when the latency objective is missed, in s of the loop's clock
--- a/balsamhead/mesh/accounts/__init__.py
+++ b/balsamhead/mesh/accounts/__init__.py
@@ -11,10 +11,9 @@
     authenticate,
 )
 from balsamhead.mesh.accounts._index import AccountIndex
-from balsamhead.mesh.accounts._priority import ROUTE_PRIORITIES, compute_account_priority
+from balsamhead.mesh.accounts._priority import compute_account_priority
 
 __all__ = (
-    "ROUTE_PRIORITIES",
     "AccountIndex",
     "Authenticated",
     "Authentication",
--- a/balsamhead/mesh/accounts/_priority.py
+++ b/balsamhead/mesh/accounts/_priority.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING, Final
 
+from balsamhead.mesh.model import ROUTE_PRIORITIES
+
 if TYPE_CHECKING:
     from balsamhead.mesh.model import Account
 
-__all__ = ("ROUTE_PRIORITIES", "compute_account_priority")
+__all__ = ("compute_account_priority",)
 
-#: priorities of routes that are told apart within one priority of an account
-ROUTE_PRIORITIES: Final = 16
 #: lowest priority of an account that is told apart from lower ones; bounds the numbers in messages
 _MAX_ACCOUNT_PRIORITY: Final = (1 << 20) - 1
 
--- a/balsamhead/mesh/model.py
+++ b/balsamhead/mesh/model.py
@@ -4,6 +4,7 @@
 
 from balsamhead.mesh._model import (
     MAX_INTEGER,
+    ROUTE_PRIORITIES,
     Account,
     ColdStart,
     Config,
@@ -32,6 +33,7 @@
 
 __all__ = (
     "MAX_INTEGER",
+    "ROUTE_PRIORITIES",
     "Account",
     "ColdStart",
     "Config",
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -65,11 +65,12 @@
     ("_upstream_index", "_rollouts", "_sync", "_freshness_exchange"),
     ("_upstream_selector",),
     ("_quota_exchange",),
-    ("_request_router", "_rollout_exchange", "_crash_exchange"),
+    ("_request_router", "_rollout_exchange", "_crash_exchange", "_admission_exchange"),
     ("_node",),
     ("_daemon",),
     ("node",),
 )
+#: number of the layer above which the public modules of decision packages may be imported, since
 #: mesh modules that may import the platform adapter
 ADAPTER_USERS = {
     "_request_router",
--- a/tests/test_mesh/test_account_decision.py
+++ b/tests/test_mesh/test_account_decision.py
@@ -8,7 +8,6 @@
 import pytest
 
 from balsamhead.mesh.accounts import (
-    ROUTE_PRIORITIES,
     AccountIndex,
     Authenticated,
     Denied,
@@ -17,7 +16,7 @@
     authenticate,
     compute_account_priority,
 )
-from balsamhead.mesh.model import Route, RouteKind
+from balsamhead.mesh.model import ROUTE_PRIORITIES, Route, RouteKind
 from balsamhead.platform.configuration import digest_key
 from tests.test_mesh.account_builders import KEY, make_account
 
