--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -91,17 +91,16 @@
             evacuated=_has_any(self._evacuated_regions.get(service, ()), regions),
         )
 
-    def may_leave_region(self, service: str, regions: Regions) -> bool:
+    def may_leave_region(self, service: str, regions: Regions, now: float) -> bool:
         """Return whether bulk requests may go to other regions than that of this node.
 
-        They stay unless they may not be served here, or all nodes of the service here are in
-        evacuated data centres.
+        They stay unless they may not be served here, or no upstream here is left by an evacuation.
         """
         region = self._cfg.region
         if not is_region_allowed(regions, region):
             return True
         evacuated = region in self._evacuated_regions.get(service, ())
-        return evacuated and region not in self._open_regions.get(service, ())
+        return evacuated and not self.count_by_version(service, now, frozenset((region,)))
 
     def count_by_version(self, service: str, now: float, regions: Regions = None) -> dict[str, int]:
         """Return how many upstreams of each version accept calls; cached for a short time.
--- a/balsamhead/mesh/_upstream_selector.py
+++ b/balsamhead/mesh/_upstream_selector.py
@@ -87,7 +87,7 @@
             kind=route.kind,
             size_bytes=self._estimate_size(route),
             rng=self._rng,
-            may_leave_region=self._upstream_index.may_leave_region(service, regions),
+            may_leave_region=self._upstream_index.may_leave_region(service, regions, now),
         )
         if selection is None:
             return Refused("upstreams-excluded")
