--- a/tests/test_mesh/test_placement.py
+++ b/tests/test_mesh/test_placement.py
@@ -184,6 +184,22 @@
     run_virtual(main)
 
 
+# The caller's node may take a request of an account without knowing the account's regions yet.
+def test_upstreams_node_refuses_calls_of_an_account_that_is_bound_to_another_region() -> None:
+    async def main() -> None:
+        config = make_config()
+        config["tenants"] = {"eastern": {"api_keys": ["k"], "allowed_regions": ["east"]}}
+        cluster, _ = await start_bound_cluster(config)
+        call = make_call(headers=HEADERS, account="eastern")
+        outcomes = [
+            await member.node._local_upstream.run(call, b"") for member in cluster.members.values()
+        ]
+        assert [isinstance(outcome, Refused) for outcome in outcomes] == [False, False, True, True]
+        assert set(list_served(cluster)) == set(EAST)
+
+    run_virtual(main)
+
+
 def test_queued_request_is_refused_when_its_region_is_forbidden() -> None:
     async def main() -> None:
         cluster, _ = await start_bound_cluster()
