--- a/tests/test_mesh/quota_builders.py
+++ b/tests/test_mesh/quota_builders.py
@@ -5,10 +5,11 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Any
 
 from balsamhead.mesh.model import Account
+from standin.virtual_network import CURRENT_HOST
 from tests.test_mesh.builders import (
     InMemoryCluster,
     Member,
@@ -18,6 +19,9 @@
     start_cluster,
 )
 
+#: host of the callers, which no cut concerns
+CALLER_HOST = "10.8.0.1"
+
 
 def make_account(name: str, rate: float = 5.0, burst: float = 5.0) -> Account:
     return Account(name, 1, rate, burst, ())
@@ -37,7 +41,7 @@
 
 
 async def start_quota_cluster(
-    count: int, *, places: Sequence[str] = ("east-a",), **rates: tuple[float, float]
+    count: int, *, places: Sequence[str] = ("east-a",), **rates: Any
 ) -> tuple[InMemoryCluster, RequestSender]:
     """Start nodes with fast upstreams, and wait until bursts are available."""
     settings = [
@@ -48,9 +52,23 @@
         member.upstream.slots = 100
         member.upstream.service_time_s = 0.005
     await asyncio.sleep(2.0)
+    CURRENT_HOST.set(CALLER_HOST)
     return cluster, send_request
 
 
+def cut_between(cluster: InMemoryCluster, one: Collection[int], other: Collection[int]) -> None:
+    """Cut the paths between two groups of nodes; callers and the store reach all nodes."""
+    hosts, others = ({f"10.0.0.{number}" for number in group} for group in (one, other))
+    cluster.network.is_cut = lambda host, peer: (
+        (host in hosts and peer in others) or (host in others and peer in hosts)
+    )
+
+
+def list_members(cluster: InMemoryCluster, place: str) -> list[int]:
+    """Return the numbers of the nodes in a data centre."""
+    return [number for number, row in cluster.members.items() if row.cfg.data_centre == place]
+
+
 class Traffic:
     """Send requests of accounts at random times, and count their statuses."""
 
