--- a/balsamhead/mesh/_peers.py
+++ b/balsamhead/mesh/_peers.py
@@ -83,6 +83,7 @@
         "limited_until",
         "link",
         "load",
+        "load_is_private",
         "load_reported_at",
         "nearby",
         "notice",
@@ -104,6 +105,8 @@
         self.upstream: UpstreamView | None = None
         self.load = Load(0, 0.0)
         self.load_reported_at = -math.inf
+        #: the last report came with the outcome of a call of this node, so no other node has it
+        self.load_is_private = False
         #: number of this node's calls that are in flight there, by priority
         self.in_flight: dict[int, int] = {}
         self._in_flight_at_report: dict[int, int] = {}
@@ -135,6 +138,7 @@
         """
         self.load = load
         self.load_reported_at = now
+        self.load_is_private = ended is not None
         self._in_flight_at_report = dict(self.in_flight)
         if ended is not None:
             self._in_flight_at_report[ended] = self._in_flight_at_report.get(ended, 0) - 1
@@ -169,12 +173,17 @@
         age_s = now - self.load_reported_at
         confidence = math.exp(-age_s / _LOAD_DECAY_S) if age_s < 10 * _LOAD_DECAY_S else 0.0
         slots = self.upstream.slots if self.upstream else 1
+        reported = self.count_reported_ahead(priority)
+        assumed = sum(self.in_flight.values()) + min(_ASSUMED_UTILISATION * slots, slots - 1)
+        return confidence * reported + (1.0 - confidence) * assumed
+
+    def count_reported_ahead(self, priority: int) -> int:
+        """Return the number of requests ahead of a call by the last report, whatever its age, with
+        the calls that this node has sent since."""
         sent_since_report = self.count_in_flight(priority) - _count_up_to(
             self._in_flight_at_report, priority
         )
-        reported = self.load.count_requests_ahead(priority) + max(0, sent_since_report)
-        assumed = sum(self.in_flight.values()) + min(_ASSUMED_UTILISATION * slots, slots - 1)
-        return confidence * reported + (1.0 - confidence) * assumed
+        return self.load.count_requests_ahead(priority) + max(0, sent_since_report)
 
     def count_in_flight(self, priority: int) -> int:
         """Return the number of this node's calls there with the same or a higher priority."""
--- a/balsamhead/mesh/_selection.py
+++ b/balsamhead/mesh/_selection.py
@@ -80,6 +80,10 @@
     limit_wait_ms: float = 0.0
     #: ratio of the expected time of the request to the mean of all requests there
     time_ratio: float = 1.0
+    #: requests ahead by the last report, whatever its age, with those sent by this node since
+    reported_ahead: float = 0.0
+    #: no other node has the last report, since it came with the outcome of a call of this node
+    load_is_private: bool = False
 
     @property
     def request_ms(self) -> float:
--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -231,6 +231,8 @@
             failure_rate=peer.load.failure_rate,
             load_age_s=now - peer.load_reported_at,
             limit_wait_ms=max(0.0, peer.limited_until - now) * 1000,
+            reported_ahead=peer.count_reported_ahead(priority),
+            load_is_private=peer.load_is_private,
         )
 
     def _make_local_candidate(self, priority: int) -> Candidate:
