Spread calls evenly where the configuration asks for it

What a node knows of an upstream's load is old, and other nodes choose by the same report, so that they all send to the upstream that it shows as free. With load_balancing even, or auto and client accounts, routes of some regions or uploads, a node moves each reported load to the mean of all within about half of a request's time, and chooses among upstreams of the same distance at random by the expected free slots and the speed. A report that came with the node's own response counts more, since no other node has it. Distance, the price of bytes, failures, slow start and limits count as before, least-wait stays as it was, and no message changes. The layers test now admits imports of decision packages from above the model, which it had no rule for.

--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -459,6 +459,9 @@
         register_gauge(
             "requests_refused_for_crashes", lambda: {"": self._crash_registry.count_refused()}
         )
+        register_gauge(
+            "load_balancing_even", lambda: {"": float(self._caller_side.balances_evenly())}
+        )
         register_gauge("links_live", lambda: {"": len(self._link_manager.list_live())})
         register_gauge("store_calls", lambda: {key[1:]: n for key, n in self._store.calls.items()})
 
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -13,11 +13,12 @@
 from balsamhead.mesh._fairness import PriorityFairness
 from balsamhead.mesh._prior_attempts import PriorAttemptTime
 from balsamhead.mesh._queue_timeout import compute_queue_timeout
-from balsamhead.mesh._request_trace import Attempt, RequestTrace
+from balsamhead.mesh._request_trace import MAX_LOAD_AGE_S, Attempt, RequestTrace
 from balsamhead.mesh._response_times import ResponseTimes
 from balsamhead.mesh._routes import RouteTable, WeightedRoundRobin
 from balsamhead.mesh._server import Reply, Request
 from balsamhead.mesh._upstream_selector import STOPPING_RETRY_AFTER_S, UpstreamSelector
+from balsamhead.mesh.balancing import is_even
 from balsamhead.mesh.model import Config, Route, RouteKind
 from balsamhead.platform.headers import encode_retry_after, parse_caller_headers
 from balsamhead.util.http1 import FramingError
@@ -113,6 +114,11 @@
     def set_config(self, config: Config) -> None:
         """Apply a configuration."""
         self._route_table = RouteTable(config)
+        self._selector.set_even(is_even(self._cfg.load_balancing, config))
+
+    def balances_evenly(self) -> bool:
+        """Return whether calls are spread evenly, instead of by the least expected time."""
+        return self._selector.is_even()
 
     def set_stop_deadline(self, stop_deadline: float) -> None:
         """Give each request a response before the node stops.
@@ -234,6 +240,7 @@
                 # The refusal carried the upstream's load, so the next selection takes it into
                 # account and selects another node or lets the request wait.
                 full_nodes += 1
+                self._metrics.count("choice_full", "first" if full_nodes == 1 else "later")
                 continue
             if isinstance(outcome, UpstreamResponse):
                 if not self._may_retry_failure(outcome, request, route, service, deadline, trace):
@@ -333,6 +340,7 @@
             urgent=trace.urgent,
         )
         self._selector.route_times.record_selection(route.name, candidate.service_ms)
+        self._observe_load_age(candidate)
         outcome = await self._call_node(call, request, candidate)
         if not may_wait and _is_complete_success(outcome):
             took_ms = (self._loop.time() - now) * 1000
@@ -340,6 +348,14 @@
             self._selector.route_times.record_time(route.name, took_ms, service_ms)
         return outcome
 
+    def _observe_load_age(self, candidate: Candidate) -> None:
+        """Record how old the report was by which an upstream of a peer was selected."""
+        if candidate.locality.same_vm:
+            return
+        source = "response" if candidate.load_is_private else "announcement"
+        age_s = min(candidate.load_age_s, MAX_LOAD_AGE_S)
+        self._metrics.observe("load_age_seconds", age_s, source)
+
     def _get_service_ms(self, candidate: Candidate) -> float:
         """Return the mean time of all requests at an upstream as last reported, in ms."""
         if candidate.locality.same_vm:
--- a/balsamhead/mesh/_request_trace.py
+++ b/balsamhead/mesh/_request_trace.py
@@ -7,10 +7,10 @@
 if TYPE_CHECKING:
     from balsamhead.mesh._selection import Selection
 
-__all__ = ("Attempt", "Decision", "RequestTrace")
+__all__ = ("MAX_LOAD_AGE_S", "Attempt", "Decision", "RequestTrace")
 
-#: age that is logged for a load that was never reported, in s
-_MAX_LOAD_AGE_S: Final = 999.0
+#: age that is logged and counted for a load that was never reported, in s
+MAX_LOAD_AGE_S: Final = 999.0
 
 
 class Decision(NamedTuple):
@@ -30,7 +30,7 @@
             "wait_ms": round(self.selection.wait_ms),
             "room_ms": round(self.max_wait_ms),
             "request_ms": round(candidate.request_ms),
-            "load_age_s": round(min(candidate.load_age_s, _MAX_LOAD_AGE_S), 2),
+            "load_age_s": round(min(candidate.load_age_s, MAX_LOAD_AGE_S), 2),
             "saturated": candidate.saturated,
             "slots": round(candidate.slots, 1),
             "limit_wait_ms": round(candidate.limit_wait_ms),
--- a/balsamhead/mesh/_selection.py
+++ b/balsamhead/mesh/_selection.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.mesh._queue_timeout import SERVICE_TIME_MARGIN
+from balsamhead.mesh.balancing import Option, choose_by_room
 from balsamhead.mesh.model import RouteKind
 
 if TYPE_CHECKING:
@@ -134,34 +135,77 @@
     kind: RouteKind,
     size_bytes: float,
     rng: random.Random,
+    even: bool = False,
 ) -> Selection | None:
     """Select the upstream with the lowest expected time and cost.
 
     Bulk calls never leave the region.
 
     :param size_bytes: expected size of the request and its response.
+    :param even: spread calls over the upstreams that are as near as that one.
     :returns: None if no candidate is eligible.
     """
     eligible = _fill_in_service_times(list(candidates))
     if kind is RouteKind.BULK:
         eligible = _restrict_to_nearby(eligible)
+    if even and len({row.locality[1:] for row in eligible}) == 1:
+        selection = _select_evenly(eligible[0], eligible, rng)
+        if selection is not None:
+            return selection
     best: Selection | None = None
     best_score = 0.0
     for candidate in eligible:
         wait_ms = estimate_wait(candidate)
-        time_ms = candidate.request_ms * (_SLOW_START_FACTOR if candidate.in_slow_start else 1.0)
+        time_ms = _compute_time(candidate)
         # Contention grows with the slots in use, which spreads calls over equal upstreams.
         contention_ms = time_ms * _CONTENTION * min(1.0, candidate.requests_ahead / candidate.slots)
         jittered_ms = (time_ms + contention_ms) * (1.0 + _JITTER * rng.random())
-        score = (
-            _WAIT_WEIGHT * wait_ms
-            + jittered_ms
-            + _FAILURE_PENALTY_MS * max(0.0, candidate.failure_rate - _TOLERATED_FAILURE_RATE)
-        )
+        score = _WAIT_WEIGHT * wait_ms + jittered_ms + _compute_failure_penalty(candidate)
         score += _compute_network_cost(candidate.locality, size_bytes)
         if best is None or score < best_score:
             best, best_score = Selection(candidate, wait_ms), score
-    return best
+    return _select_evenly(best.candidate, eligible, rng) or best if even and best else best
+
+
+def _select_evenly(
+    best: Candidate, eligible: list[Candidate], rng: random.Random
+) -> Selection | None:
+    """Select among the upstreams that are as near as the best one, by free slots and speed.
+
+    The request waits at none of them: if the slots turn out to be in use, the refusal carries the
+    current load, and the next selection takes it into account.
+
+    :returns: None if all of them are expected to have no free slot.
+    """
+    equal = [
+        row
+        for row in eligible
+        if row.locality[1:] == best.locality[1:] and row.limit_wait_ms <= 0.0
+    ]
+    if all(estimate_wait(row) > 0.0 for row in equal):
+        return None
+    options = [
+        Option(
+            slots=row.slots,
+            requests_ahead=row.requests_ahead,
+            service_ms=row.service_ms,
+            age_s=row.load_age_s,
+            private=row.load_is_private,
+            request_ms=_compute_time(row),
+            penalty_ms=_compute_failure_penalty(row),
+        )
+        for row in equal
+    ]
+    return Selection(equal[choose_by_room(options, rng)], 0.0)
+
+
+def _compute_time(candidate: Candidate) -> float:
+    """Return the expected time of the request without a wait, in ms."""
+    return candidate.request_ms * (_SLOW_START_FACTOR if candidate.in_slow_start else 1.0)
+
+
+def _compute_failure_penalty(candidate: Candidate) -> float:
+    return _FAILURE_PENALTY_MS * max(0.0, candidate.failure_rate - _TOLERATED_FAILURE_RATE)
 
 
 def _fill_in_service_times(eligible: list[Candidate]) -> list[Candidate]:
--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -6,6 +6,7 @@
 
 from balsamhead.mesh._peers import rank_nodes
 from balsamhead.mesh._selection import Candidate, Locality, estimate_concurrency, is_in_time
+from balsamhead.mesh.balancing import ReportedLoad, expect_requests_ahead
 
 if TYPE_CHECKING:
     import random
@@ -59,6 +60,8 @@
         #: when each service last had a nearby candidate, in s of the loop's clock
         self._nearby_seen_at: dict[str, float] = {}
         self._version_counts: dict[str, tuple[int, float, dict[str, int]]] = {}
+        #: loads are expected from what other nodes may have sent since each report
+        self.even = False
 
     def count_by_version(self, service: str, now: float) -> dict[str, int]:
         """Return how many upstreams of each version accept calls; cached for a short time."""
@@ -120,17 +123,33 @@
                 candidates.append(local_candidate)
         if candidates:
             self._nearby_seen_at[service] = now
+        if self.even:
+            candidates = self._expect_loads(candidates)
         if prefer_nearby and now - self._nearby_seen_at.setdefault(service, now) < _NEARBY_ONLY_S:
             return candidates
         candidates = [row._replace(time_ratio=time_ratio) for row in candidates]
         if not any(is_in_time(candidate, objective_ms) for candidate in candidates):
             eligible_remote = [peer for peer in remote if self._is_eligible(peer, excluded, now)]
-            candidates += [
+            remote_candidates = [
                 self._make_candidate(peer, priority, now)._replace(time_ratio=time_ratio)
                 for peer in self._sample(eligible_remote, _REMOTE_SAMPLE_SIZE)
             ]
+            candidates += self._expect_loads(remote_candidates) if self.even else remote_candidates
         return candidates
 
+    def _expect_loads(self, candidates: list[Candidate]) -> list[Candidate]:
+        """Replace the loads by those to expect, with what other nodes may have sent."""
+        expected = expect_requests_ahead(
+            [
+                ReportedLoad(row.slots, row.reported_ahead, row.service_ms, row.load_age_s)
+                for row in candidates
+            ]
+        )
+        return [
+            row._replace(requests_ahead=requests_ahead)
+            for row, requests_ahead in zip(candidates, expected, strict=True)
+        ]
+
     def list_trial_candidates(
         self,
         service: str,
@@ -238,17 +257,20 @@
     def _make_local_candidate(self, priority: int) -> Candidate:
         record, load = self._local.record, self._local.get_load()
         assert record is not None
+        requests_ahead = load.count_requests_ahead(priority)
         return Candidate(
             node=self._cfg.node,
             version=record.version,
             slots=estimate_concurrency(
                 record.slots, limit_per_s=self._local.get_limit(), service_ms=load.service_ms
             ),
-            requests_ahead=load.count_requests_ahead(priority),
+            requests_ahead=requests_ahead,
             service_ms=load.service_ms,
             in_slow_start=self._local.is_in_slow_start(),
             locality=_SAME_VM,
             saturated=load.saturated,
             failure_rate=load.failure_rate,
             limit_wait_ms=self._local.get_limit_wait() * 1000,
+            reported_ahead=requests_ahead,
+            load_is_private=True,
         )
--- a/balsamhead/mesh/_upstream_selector.py
+++ b/balsamhead/mesh/_upstream_selector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import TYPE_CHECKING, Final
 
 from balsamhead.mesh._caller_crash_view import fingerprint_request
@@ -23,6 +24,8 @@
 
 __all__ = ("STOPPING_RETRY_AFTER_S", "UpstreamSelector")
 
+logger = logging.getLogger(__name__)
+
 #: weight of a new sample in the mean size of a route's requests and responses
 _SIZE_WEIGHT: Final = 0.05
 #: size of a request with its response that is assumed before one was measured, in bytes
@@ -56,6 +59,19 @@
         #: when the node stops, in s of the loop's clock; None if it doesn't
         self.stop_deadline: float | None = None
 
+    def set_even(self, even: bool) -> None:
+        """Spread calls evenly from now on, or select the least expected time.
+
+        :param even: see ``balsamhead.mesh.balancing``.
+        """
+        if even != self._upstream_index.even:
+            logger.info("load-balancing-changed", extra={"mode": "even" if even else "least-wait"})
+            self._upstream_index.even = even
+
+    def is_even(self) -> bool:
+        """Return whether calls are spread evenly."""
+        return self._upstream_index.even
+
     def record_size(self, route: Route, size_bytes: int) -> None:
         """Record the size of a request with its response."""
         mean_size = self._mean_sizes.get(route.name, float(size_bytes))
@@ -81,7 +97,11 @@
             return Refused("no-upstream")
         candidates = self._list_candidates(request, route, service, excluded, trace, now)
         selection = select_upstream(
-            candidates, kind=route.kind, size_bytes=self._estimate_size(route), rng=self._rng
+            candidates,
+            kind=route.kind,
+            size_bytes=self._estimate_size(route),
+            rng=self._rng,
+            even=self._upstream_index.even,
         )
         if selection is None:
             return Refused("upstreams-excluded")
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -104,6 +104,9 @@
 @pytest.mark.parametrize("number", range(len(LAYERS)))
 def test_mesh_modules_import_only_lower_layers(number: int) -> None:
     allowed = {name for layer in LAYERS[:number] for name in layer}
+    if "model" in allowed:
+        # decision packages import nothing of the mesh but the model, by their public module
+        allowed |= {path.name for path in list_decision_packages()}
     # the public model module may be imported from every layer
     for name in LAYERS[number]:
         for module in find_imports(PACKAGE / "mesh" / f"{name}.py"):
--- a/tests/test_mesh/balancing_model.py
+++ b/tests/test_mesh/balancing_model.py
@@ -57,6 +57,8 @@
         self.queue: deque[Callable[[float], None]] = deque()
         #: when the newest report to all callers arrives, and its load
         self.report = (-math.inf, self.get_load())
+        #: until when a slot is kept for a caller, in s
+        self.grants: dict[Caller, float] = {}
         self.use_s = 0.0
         self.changed_at = 0.0
 
@@ -64,6 +66,11 @@
         queue = ((PRIORITY, len(self.queue)),) if self.queue else ()
         return Load(self.running, round(self.service_s * 1000), queue)
 
+    def has_room(self, caller: Caller, now: float) -> bool:
+        """Return whether a slot is free that is not kept for another caller."""
+        kept = sum(until > now for other, until in self.grants.items() if other is not caller)
+        return self.running + kept < SLOTS
+
     def set_running(self, running: int, now: float) -> None:
         self.use_s += self.running * (now - self.changed_at)
         self.running, self.changed_at = running, now
@@ -72,8 +79,10 @@
 class Caller:
     """A caller's node: what it knows of the upstreams, and the index of the product."""
 
-    def __init__(self, upstreams: list[FakeUpstream], rng: random.Random, mode: str) -> None:
+    def __init__(self, upstreams: list[FakeUpstream], rng: random.Random, even: bool) -> None:
         self.peers: dict[str, Peer] = {}
+        #: until when a slot is kept for this caller, by node, in s
+        self.grants: dict[str, float] = {}
         for upstream in upstreams:
             peer = Peer(upstream.record, nearby=True)
             peer.upstream = UpstreamView("i", "v1", SLOTS, accepts_requests=True)
@@ -88,8 +97,10 @@
             get_suspect_timeout=lambda peer: math.inf,
         )
         local: Any = SimpleNamespace(accepts_requests=lambda: False)
-        cfg = make_settings(1)._replace(load_balancing=mode)
-        self.index = UpstreamIndex(cfg, link_manager=link_manager, local=local, rng=rng)
+        self.index = UpstreamIndex(
+            make_settings(1), link_manager=link_manager, local=local, rng=rng
+        )
+        self.index.even = even
 
     def receive_report(self, upstream: FakeUpstream, now: float) -> None:
         arrived_at, load = upstream.report
@@ -110,7 +121,8 @@
         load: float,
         speeds: tuple[float, ...],
         remote: int = 0,
-        mode: str = "least-wait",
+        even: bool = False,
+        grant_s: float = 0.0,
         seed: int = 1,
     ) -> None:
         self.rng = random.Random(seed)
@@ -122,9 +134,11 @@
             for number, (speed, place) in enumerate(zip(all_speeds, places, strict=True))
         ]
         self.by_name = {upstream.record.name: upstream for upstream in self.upstreams}
-        self.callers = [Caller(self.upstreams, self.rng, mode) for _ in range(callers)]
+        self.callers = [Caller(self.upstreams, self.rng, even) for _ in range(callers)]
         self.rate = load * SLOTS * sum(speeds) / SERVICE_S
         self.report_s = report_s
+        #: how long a slot that a response leaves free is kept for its caller, in s
+        self.grant_s = grant_s
         self.events: list[tuple[float, int, Callable[[float], None]]] = []
         self.order = 0
         self.waits: list[float] = []
@@ -187,6 +201,8 @@
             prefer_nearby=False,
             now=now,
         )
+        granted = [row for row in candidates if caller.grants.get(row.node, 0.0) > now + DELAY_S]
+        candidates = granted or candidates
         Attempt(self, caller, self.choose(candidates, self.rng), arrived_at, full_nodes).send(now)
 
 
@@ -205,11 +221,13 @@
         self.full_nodes = full_nodes
 
     def send(self, now: float) -> None:
+        self.caller.grants.pop(self.upstream.record.name, None)
         self.peer.in_flight[PRIORITY] = self.peer.in_flight.get(PRIORITY, 0) + 1
         self.model.at(now + DELAY_S, self.reach)
 
     def reach(self, now: float) -> None:
-        if self.upstream.running < SLOTS:
+        if self.upstream.has_room(self.caller, now):
+            self.upstream.grants.pop(self.caller, None)
             self.start(now)
             return
         if any(row.running < SLOTS for row in self.model.upstreams):
@@ -236,6 +254,10 @@
         self.upstream.set_running(self.upstream.running - 1, now)
         if self.upstream.queue:
             self.upstream.queue.popleft()(now)
+        elif self.model.grant_s and self.upstream.has_room(self.caller, now):
+            until = now + self.model.grant_s
+            self.upstream.grants[self.caller] = until
+            self.caller.grants[self.upstream.record.name] = until
         load = self.upstream.get_load()
         self.model.at(now + DELAY_S, lambda at: self.respond(load, at))
 
--- a/tests/test_mesh/balancing_ways.py
+++ b/tests/test_mesh/balancing_ways.py
@@ -18,6 +18,15 @@
     return selection
 
 
+def choose_evenly(candidates: list[Candidate], rng: random.Random) -> Selection:
+    """Choose as in the mode "even"."""
+    selection = select_upstream(
+        candidates, kind=RouteKind.SAFE, size_bytes=SIZE_BYTES, rng=rng, even=True
+    )
+    assert selection is not None
+    return selection
+
+
 def choose_better_of_two(candidates: list[Candidate], rng: random.Random) -> Selection:
     """Choose the lesser expected time of two random upstreams."""
     return choose_least_wait(rng.sample(candidates, min(2, len(candidates))), rng)
