--- a/tests/test_mesh/test_balancing.py
+++ b/tests/test_mesh/test_balancing.py
@@ -174,6 +174,13 @@
     assert even.imbalance <= least.imbalance + IMBALANCE_NOISE
 
 
+# Nine tenths of the slots are needed, and reports are old: the target is the same.
+def test_even_load_halves_arrivals_at_full_upstreams_near_capacity() -> None:
+    least = run_model(choose_least_wait, callers=100, report_s=0.5, load=0.9)
+    even = run_model(choose_evenly, callers=100, report_s=0.5, load=0.9)
+    assert even.misplaced <= least.misplaced / 2
+
+
 # Few callers, new reports or a light load: what least-wait does well must not become worse.
 @pytest.mark.parametrize(
     ("callers", "report_s", "load"),
