--- a/tests/test_mesh/test_balancing.py
+++ b/tests/test_mesh/test_balancing.py
@@ -194,6 +194,14 @@
     assert even.mean_time_ms <= least.mean_time_ms * 1.1
 
 
+# Few callers, each of which knows much from its own responses, and nine tenths of the slots needed.
+def test_even_load_is_not_worse_with_few_callers_near_capacity() -> None:
+    least = run_model(choose_least_wait, callers=10, report_s=0.5, load=0.9, seed=4)
+    even = run_model(choose_evenly, callers=10, report_s=0.5, load=0.9, seed=4)
+    assert even.misplaced <= least.misplaced + 0.1
+    assert even.mean_wait_ms <= least.mean_wait_ms + 1.0
+
+
 # The data centre gets more requests than it can run, and another one has room.
 def test_overload_of_a_data_centre_goes_to_another_one() -> None:
     least = run_model(choose_least_wait, callers=100, report_s=0.5, load=1.2, remote=36)
