--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -553,6 +553,9 @@
         register_gauge(
             "data_centres_evacuated", lambda: {"": len(self._placement.evacuation.evacuated)}
         )
+        register_gauge(
+            "load_balancing_even", lambda: {"": float(self._caller_side.balances_evenly())}
+        )
         register_gauge("links_live", lambda: {"": len(self._link_manager.list_live())})
         register_gauge("store_calls", lambda: {key[1:]: n for key, n in self._store.calls.items()})
 
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -15,7 +15,7 @@
 from balsamhead.mesh._prior_attempts import PriorAttemptTime
 from balsamhead.mesh._queue_timeout import compute_queue_timeout
 from balsamhead.mesh._quota_exchange import QuotaRefusal
-from balsamhead.mesh._request_trace import Attempt, RequestTrace
+from balsamhead.mesh._request_trace import MAX_LOAD_AGE_S, Attempt, RequestTrace
 from balsamhead.mesh._response_times import ResponseTimes
 from balsamhead.mesh._routes import RouteTable, WeightedRoundRobin
 from balsamhead.mesh._server import Reply, Request
@@ -33,6 +33,7 @@
     TriedNodes,
     is_late,
 )
+from balsamhead.mesh.balancing import is_even
 from balsamhead.mesh.model import ROUTE_PRIORITIES, Config, Route, RouteKind
 from balsamhead.platform.configuration import digest_key
 from balsamhead.platform.headers import (
@@ -154,6 +155,11 @@
         self._accounts.set_config(config)
         self._local.apply_config(config)
         self._priorities_per_account = None if config.accounts is None else ROUTE_PRIORITIES
+        self._selector.set_even(is_even(self._cfg.load_balancing, config))
+
+    def balances_evenly(self) -> bool:
+        """Return whether calls are spread evenly, instead of by the least expected time."""
+        return self._selector.is_even()
 
     def set_stop_deadline(self, stop_deadline: float) -> None:
         """Give each request a response before the node stops.
@@ -341,6 +347,7 @@
                 # The refusal carried the upstream's load, so the next selection takes it into
                 # account and selects another node or lets the request wait.
                 tried.record_full(node, outcome.code)
+                self._metrics.count("choice_full", "first" if tried.full_count == 1 else "later")
                 continue
             if isinstance(outcome, UpstreamResponse):
                 if not self._may_retry_failure(outcome, request, route, service, deadline, trace):
@@ -466,6 +473,7 @@
             nested=trace.nested,
         )
         self._selector.route_times.record_selection(route.name, candidate.service_ms)
+        self._observe_load_age(candidate)
         outcome = await self._call_node(call, request, candidate)
         if not may_wait and _is_complete_success(outcome):
             took_ms = (self._loop.time() - now) * 1000
@@ -473,6 +481,14 @@
             self._selector.route_times.record_time(route.name, took_ms, service_ms)
         return outcome
 
+    def _observe_load_age(self, candidate: Candidate) -> None:
+        """Record how old the report was by which an upstream of a peer was selected."""
+        if candidate.locality.same_vm:
+            return
+        source = "response" if candidate.load_is_private else "announcement"
+        age_s = min(candidate.load_age_s, MAX_LOAD_AGE_S)
+        self._metrics.observe("load_age_seconds", age_s, source)
+
     def _get_service_ms(self, candidate: Candidate) -> float:
         """Return the mean time of all requests at an upstream as last reported, in ms."""
         if candidate.locality.same_vm:
--- a/balsamhead/mesh/_upstream_index.py
+++ b/balsamhead/mesh/_upstream_index.py
@@ -12,6 +12,7 @@
     estimate_concurrency,
     is_in_time,
 )
+from balsamhead.mesh.balancing import ReportedLoad, expect_requests_ahead
 from balsamhead.mesh.residency import (
     Absence,
     UpstreamRoom,
@@ -85,6 +86,8 @@
         self._open_regions: dict[str, set[str]] = {}
         self._evacuated_regions: dict[str, set[str]] = {}
         self._cold_starts: Mapping[str, ColdStart] = {}
+        #: loads are expected from what other nodes may have sent since each report
+        self.even = False
 
     def set_cold_starts(self, cold_starts: Mapping[str, ColdStart]) -> None:
         """Change what upstreams take while cold, by service.
@@ -191,6 +194,8 @@
                 candidates.append(local_candidate)
         if candidates:
             self._nearby_seen_at[service] = now
+        if self.even:
+            candidates = self._expect_loads(candidates)
         leaves_data_centre = not self._may_serve_nearby(regions)
         if (
             prefer_nearby
@@ -210,10 +215,11 @@
             eligible_remote = [peer for peer in remote if self._is_eligible(peer, excluded, now)]
             if yields or (prefer_nearby and leaves_data_centre):
                 eligible_remote = self._prefer_region(eligible_remote, own=not yields)
-            candidates += [
+            remote_candidates = [
                 self._make_candidate(peer, priority, now)._replace(time_ratio=time_ratio)
                 for peer in self._sample(eligible_remote, _REMOTE_SAMPLE_SIZE)
             ]
+            candidates += self._expect_loads(remote_candidates) if self.even else remote_candidates
         if not carrying:
             return candidates
         rooms = self._make_rooms(candidates, objective_ms)
@@ -243,6 +249,19 @@
             for row in candidates
         ]
 
+    def _expect_loads(self, candidates: list[Candidate]) -> list[Candidate]:
+        """Replace the loads by those to expect, with what other nodes may have sent."""
+        expected = expect_requests_ahead(
+            [
+                ReportedLoad(row.slots, row.reported_ahead, row.service_ms, row.load_age_s)
+                for row in candidates
+            ]
+        )
+        return [
+            row._replace(requests_ahead=requests_ahead)
+            for row, requests_ahead in zip(candidates, expected, strict=True)
+        ]
+
     def list_trial_candidates(
         self,
         service: str,
@@ -367,6 +386,8 @@
             failure_rate=peer.load.failure_rate,
             load_age_s=now - peer.load_reported_at,
             limit_wait_ms=max(0.0, peer.limited_until - now) * 1000,
+            reported_ahead=peer.count_reported_ahead(priority),
+            load_is_private=peer.load_is_private,
         )
 
     def _estimate_slots(
@@ -391,6 +412,7 @@
     def _make_local_candidate(self, priority: int) -> Candidate:
         record, load = self._local.record, self._local.get_load()
         assert record is not None
+        requests_ahead = load.count_requests_ahead(priority)
         return Candidate(
             node=self._cfg.node,
             version=record.version,
@@ -401,7 +423,7 @@
                 limit_per_s=self._local.get_limit(),
                 service_ms=load.service_ms,
             ),
-            requests_ahead=load.count_requests_ahead(priority),
+            requests_ahead=requests_ahead,
             service_ms=load.service_ms,
             in_slow_start=(
                 self._local.is_in_slow_start() and record.service not in self._cold_starts
@@ -410,6 +432,8 @@
             saturated=load.saturated,
             failure_rate=load.failure_rate,
             limit_wait_ms=self._local.get_limit_wait() * 1000,
+            reported_ahead=requests_ahead,
+            load_is_private=True,
         )
 
 
