Test that an admitted call is checked again before it is sent

A change of regions or an evacuation may arrive while the connection to the upstream is being opened.

--- a/tests/test_mesh/test_placement.py
+++ b/tests/test_mesh/test_placement.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import functools
+import json
 import logging
+from unittest import mock
 
 import pytest
 
-from balsamhead.mesh._calls import Refused
+from balsamhead.mesh._calls import Call, Refused
 from balsamhead.mesh._server import Reply
+from balsamhead.mesh._upstream_connection import UpstreamConnection
+from balsamhead.platform.configuration import decode_config
 from standin.virtual_network import CURRENT_HOST
 from tests.test_mesh.builders import (
     InMemoryCluster,
@@ -200,6 +204,35 @@
     run_virtual(main)
 
 
+# A change may arrive after admission, while the connection to the upstream is being opened.
+@pytest.mark.parametrize("code", ["region-not-allowed", "data-centre-evacuated"])
+def test_admitted_call_is_checked_again_before_it_is_sent(code: str) -> None:
+    async def main() -> None:
+        cluster, _ = await start_bound_cluster()
+        node = cluster.members[1].node
+        connect = node._local_upstream._connect
+
+        async def connect_during_change(call: Call) -> UpstreamConnection | None:
+            conn = await connect(call)
+            state = node._sync.state
+            if code == "data-centre-evacuated":
+                node._apply_state(state._replace(evacuated=("east-a",)))
+            else:
+                config = decode_config(json.dumps(make_bound_config(2, "west")).encode())
+                node._apply_state(state._replace(config=config))
+            return conn
+
+        call = make_call(headers=HEADERS, route="bound")
+        with mock.patch.object(node._local_upstream, "_connect", connect_during_change):
+            outcome = await node._local_upstream.run(call, b"")
+        assert isinstance(outcome, Refused)
+        assert outcome.code == code
+        assert list_served(cluster) == {}
+        assert node._local_upstream.running == 0
+
+    run_virtual(main)
+
+
 def test_queued_request_is_refused_when_its_region_is_forbidden() -> None:
     async def main() -> None:
         cluster, _ = await start_bound_cluster()
