Let a route of a document name the regions in which its calls run

Operators could not keep the calls of a route in some regions on the path of balsamhead node: the nearest region with room took them, and each retry could leave the region.

A route may name regions. Endpoints of such a route are selected among the upstreams of these regions only, so that the subset of a large fleet can't miss them, and first attempts, retries and calls that wait for a slot use only these. Without one, a call is refused as no-upstream-in-regions (503, not run, with Retry-After). The check reports regions that don't exist or have no data centre (region-missing, region-empty). A node whose settings disagree with the document about its place counts as in no region.

The field is encoded only where it is set: documents without it keep their bytes and digest, and nodes of the release before can read them. These nodes reject documents with it.

--- a/balsamhead/distribution/_resource.py
+++ b/balsamhead/distribution/_resource.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
-from balsamhead.document import Document, Region, Route, Service
+from balsamhead.document import Document, Region, Route, Service, prepare_route
 from balsamhead.errors import MalformedMessageError
 from balsamhead.fold import ConfigState, Rollout, Withdrawal
 from balsamhead.util import codec
@@ -47,7 +47,7 @@
     parts: dict[str, Resource] = {}
     for name, row in _list_rows(state):
         body = known_resources.get(name) if known_rows.get(name) == row else None
-        parts[name] = body or Resource(name, codec.encode(row))
+        parts[name] = body or Resource(name, _encode_row(row))
     return parts
 
 
@@ -84,10 +84,13 @@
 
 
 def has_valid_references(state: ConfigState) -> bool:
-    """Return whether all services that routes, rollouts and services refer to exist."""
+    """Return whether all services and regions that rows refer to exist."""
     document = state.document
     if document is None:
         return not state.rollouts
+    regions = {region.name for region in document.regions}
+    if not all(regions.issuperset(route.regions) for route in document.routes):
+        return False
     names = {service.name for service in document.services}
     referenced = {route.service for route in document.routes}
     referenced.update(rollout.service for rollout in state.rollouts)
@@ -125,6 +128,10 @@
         yield f"route/{route.name}", route
 
 
+def _encode_row(row: Any) -> bytes:
+    return codec.encode(prepare_route(row) if isinstance(row, Route) else row)
+
+
 def _decode_rows(resources: Iterable[Resource]) -> dict[str, list[Any]]:
     rows: dict[str, list[Any]] = {kind: [] for kind in _ROW_TYPES}
     for resource in resources:
--- a/balsamhead/document/__init__.py
+++ b/balsamhead/document/__init__.py
@@ -4,7 +4,12 @@
 
 from balsamhead.document._check import check_document
 from balsamhead.document._difference import render_difference
-from balsamhead.document._digest import digest_document, sort_document
+from balsamhead.document._digest import (
+    digest_document,
+    prepare_document,
+    prepare_route,
+    sort_document,
+)
 from balsamhead.document._model import (
     Document,
     Objective,
@@ -34,6 +39,8 @@
     "check_document",
     "digest_document",
     "parse_document",
+    "prepare_document",
+    "prepare_route",
     "render_difference",
     "render_document",
     "sort_document",
--- a/balsamhead/document/_check.py
+++ b/balsamhead/document/_check.py
@@ -77,6 +77,7 @@
     mistakes += _check_regions(document.regions)
     mistakes += _check_services(document.services, checked, written_at)
     mistakes += _check_routes(document.routes, checked, document.services)
+    mistakes += _check_route_regions(document.routes, document.regions)
     if not mistakes and len(encode_document(document)) > MAX_DOCUMENT_BYTES:
         mistakes.append(
             _make_size_mistake("", f"must encode to at most {MAX_DOCUMENT_BYTES:,} bytes")
@@ -236,6 +237,20 @@
     yield from _check_overlaps(routes, checked)
 
 
+def _check_route_regions(
+    routes: tuple[Route, ...], regions: tuple[Region, ...]
+) -> Iterator[Mistake]:
+    data_centres = {region.name: region.data_centres for region in regions}
+    for number, route in enumerate(routes, start=1):
+        path = f"route[{number}].regions"
+        missing = [name for name in route.regions if name not in data_centres]
+        for name in missing:
+            message = f"no [[region]] has the name {quote_text(name)}"
+            yield Mistake(path, "region-missing", message)
+        if route.regions and not missing and not any(map(data_centres.get, route.regions)):
+            yield Mistake(path, "region-empty", "none of these regions has a data centre")
+
+
 def _check_overlaps(routes: tuple[Route, ...], checked: _CheckedRows) -> Iterator[Mistake]:
     indexes: dict[str, PatternIndex] = {}
     visits = 0
--- a/balsamhead/document/_model.py
+++ b/balsamhead/document/_model.py
@@ -77,6 +77,8 @@
     idempotent: bool
     #: responses are large and are streamed at low priority
     bulk: bool
+    #: names of the regions in which calls may run; empty for all
+    regions: tuple[str, ...] = ()
 
 
 class Document(NamedTuple):
--- a/balsamhead/document/_parse.py
+++ b/balsamhead/document/_parse.py
@@ -103,7 +103,10 @@
 
 
 def _make_error(file: str, mistakes: list[Mistake], tree: dict[str, Any]) -> DocumentError:
-    names = _collect_names(tree.get("service"))
+    names = {
+        "service-missing": _collect_names(tree.get("service")),
+        "region-missing": _collect_names(tree.get("region")),
+    }
     listed = [_add_context(mistake, file, tree, names) for mistake in mistakes[:MAX_MISTAKES]]
     omitted = len(mistakes) - len(listed)
     if omitted:
@@ -116,11 +119,16 @@
     )
 
 
-def _add_context(mistake: Mistake, file: str, tree: dict[str, Any], names: set[str]) -> Mistake:
-    """Add the file, the name of the row, and a suggestion for the name of a missing service."""
+def _add_context(
+    mistake: Mistake, file: str, tree: dict[str, Any], names: dict[str, set[str]]
+) -> Mistake:
+    """Add the file, the name of the row, and a suggestion for a name that doesn't exist.
+
+    :param names: names that exist, by the code of the mistake.
+    """
     message = mistake.message
-    if mistake.code == "service-missing":
-        nearest = find_closest_key(message.partition('"')[2].rstrip('"'), names)
+    if mistake.code in names:
+        nearest = find_closest_key(message.partition('"')[2].rstrip('"'), names[mistake.code])
         message += f'; did you mean "{nearest}"?' if nearest else ""
 
     row = _ROW_PLACE.match(mistake.place)
--- a/balsamhead/document/_render.py
+++ b/balsamhead/document/_render.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from balsamhead.document._model import Document, Service
+    from balsamhead.document._model import Document, Route, Service
     from balsamhead.util.fields import Field
 
 __all__ = ("render_document",)
@@ -31,7 +31,7 @@
     for service in document.services:
         lines += ["", "[[service]]", *_render_service(service)]
     for route in document.routes:
-        lines += ["", "[[route]]", *_render_fields(route, ROUTE_FIELDS)]
+        lines += ["", "[[route]]", *_render_route(route)]
     return "\n".join(lines) + "\n"
 
 
@@ -45,6 +45,12 @@
     yield from _render_fields(service.rollout, ROLLOUT_FIELDS)
 
 
+def _render_route(route: Route) -> Iterator[str]:
+    # nodes of the release before reject the key
+    fields = (f for f in ROUTE_FIELDS if f.key != "regions" or route.regions)
+    return _render_fields(route, fields)
+
+
 def _render_fields(row: object, fields: Iterable[Field]) -> Iterator[str]:
     for field in fields:
         yield f"{field.key} = {_render_value(getattr(row, field.attribute))}"
--- a/balsamhead/document/_schema.py
+++ b/balsamhead/document/_schema.py
@@ -157,4 +157,13 @@
     _integer_field("deadline-ms", 1, _HOUR_MS, "ms", "time that a call may take in all"),
     Field("idempotent", Kind.FLAG, default=False, help="a call may run more than once"),
     Field("bulk", Kind.FLAG, default=False, help="answers are large and are streamed"),
+    Field(
+        "regions",
+        Kind.TEXTS,
+        default=(),
+        pattern=_NAME_PATTERN,
+        pattern_description=_NAME_DESCRIPTION,
+        length_range=(0, MAX_ROWS["region"]),
+        help="regions in which calls may run; all when empty",
+    ),
 )
--- a/balsamhead/fold/_record.py
+++ b/balsamhead/fold/_record.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from balsamhead.document import Document
+from balsamhead.document import Document, prepare_document
 from balsamhead.fold._state import ConfigState
 from balsamhead.util import codec
 
@@ -123,6 +123,15 @@
 
 def encode_record(record: Record) -> bytes:
     """Encode a record for the log."""
+    match record:
+        case PublishDocument(document=document):
+            document = prepare_document(document)
+            record = msgspec.structs.replace(record, document=document)
+        case Checkpoint(state=state) if state.document is not None:
+            document = prepare_document(state.document)
+            record = msgspec.structs.replace(record, state=state._replace(document=document))
+        case _:
+            pass
     return codec.encode(record)
 
 
--- a/balsamhead/proxy/_dispatch.py
+++ b/balsamhead/proxy/_dispatch.py
@@ -57,8 +57,8 @@
 
     @property
     def endpoints(self) -> VersionEndpoints:
-        """Return the endpoints that serve the version."""
-        return self.service.versions[self.version]
+        """Return the endpoints that serve the version and may run calls of the route."""
+        return self.service.get_endpoints(self.version, self.route.name)
 
 
 class Slot(NamedTuple):
@@ -125,12 +125,10 @@
         now = self._clock()
         loads: dict[tuple[str, int], Load] = {}
         for service in snapshot.services.values():
-            for version in service.versions.values():
-                for tier in version.tiers:
-                    for endpoint in tier:
-                        key = endpoint[:2]
-                        load = self._loads.get(key)
-                        loads[key] = load or Load(slots=endpoint.slots, now=now, slow_start=cold)
+            for endpoint in service.list_endpoints():
+                key = endpoint[:2]
+                load = self._loads.get(key) or loads.get(key)
+                loads[key] = load or Load(slots=endpoint.slots, now=now, slow_start=cold)
         # running calls keep a reference to the load of an endpoint that was removed
         self._loads = loads
 
@@ -182,7 +180,7 @@
         if service.fallback:
             with self._lock:
                 blocked = self._find_blocked_versions(service)
-            version = pick_version(service, self._rng, blocked=blocked)
+            version = pick_version(service, self._rng, blocked=blocked, route=route.name)
         else:
             version = service.shares[0].version if service.shares else ""
         if not version:
@@ -212,11 +210,26 @@
             slot = self._try_acquire(target, excluded)
             if slot is not None:
                 return slot
+            target = self._update_restriction(target)
             if not any(target.endpoints.tiers):
-                return make_refusal("no-upstream", retry_after_s=_MIN_RETRY_AFTER_S)
+                is_restricted = target.route.name in target.service.restricted
+                code = "no-upstream-in-regions" if is_restricted else "no-upstream"
+                return make_refusal(code, retry_after_s=_MIN_RETRY_AFTER_S)
             return self._wait_for_slot(target, excluded, deadline_at)
 
+    def _update_restriction(self, target: Target) -> Target:
+        """Return the target with the regions that its route names now.
+
+        They may have changed while the call waited for a slot or ran its first attempt. A route
+        that is no longer in force keeps its regions for the calls that have begun.
+        """
+        service = self.snapshot.services.get(target.service.name)
+        if service is None or target.route.name not in service.restricted:
+            return target
+        return target._replace(service=service)
+
     def _try_acquire(self, target: Target, excluded: list[Endpoint]) -> Slot | None:
+        target = self._update_restriction(target)
         endpoint = choose_upstream(
             target.endpoints,
             self._get_load,
@@ -372,9 +385,7 @@
         return {
             endpoint
             for service in self.snapshot.services.values()
-            for version in service.versions.values()
-            for tier in version.tiers
-            for endpoint in tier
+            for endpoint in service.list_endpoints()
         }
 
     def drain_counts(self) -> tuple[CallCount, ...]:
--- a/balsamhead/routing/_refusal.py
+++ b/balsamhead/routing/_refusal.py
@@ -39,6 +39,9 @@
     "configuration-missing": RefusalKind(503, "no configuration is in force yet", True),
     "version-withdrawn": RefusalKind(503, "all versions of the service are withdrawn", True),
     "no-upstream": RefusalKind(503, "no upstream of the version is ready", True),
+    "no-upstream-in-regions": RefusalKind(
+        503, "no upstream in the regions of the route is ready", True
+    ),
     "overloaded": RefusalKind(503, "the wait for a free slot would be too long", True),
     "upstream-shed": RefusalKind(503, "the upstreams asked refused for load", True),
     "connect-failed": RefusalKind(503, "no connection to an upstream could be opened", True),
--- a/balsamhead/routing/_snapshot.py
+++ b/balsamhead/routing/_snapshot.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import bisect
-from typing import TYPE_CHECKING, NamedTuple
+from itertools import chain
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.fold import RolloutPhase
 from balsamhead.membership import MemberStatus, UpstreamState
@@ -12,9 +14,9 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Iterable, Iterator, Mapping, Sequence
 
-    from balsamhead.document import Document, Service
+    from balsamhead.document import Document, Route, Service
     from balsamhead.fold import ConfigState, Rollout
     from balsamhead.membership import Member, Place, Upstream
     from balsamhead.node import Identity
@@ -33,6 +35,9 @@
 #: number of locality tiers: same data centre, same region, other region
 TIER_COUNT = 3
 
+#: members that announced a ready upstream, by service and version
+_Upstreams = dict[tuple[str, str], list[tuple["Member", "Upstream"]]]
+
 _LIVE_STATUSES = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
 
 
@@ -67,6 +72,10 @@
     connection_budget: int
 
 
+_NO_ENDPOINTS: Final = VersionEndpoints(((),) * TIER_COUNT, 1)
+_UNRESTRICTED: Final[Mapping[str, dict[str, VersionEndpoints]]] = MappingProxyType({})
+
+
 class ServiceRoutes(NamedTuple):
     """Versions of a service that get calls, with their shares and endpoints."""
 
@@ -78,6 +87,21 @@
     #: latency objective, in ms
     latency_objective_ms: float
     versions: dict[str, VersionEndpoints]
+    #: versions by name of each route that names regions, with the endpoints in these regions only
+    restricted: Mapping[str, dict[str, VersionEndpoints]] = _UNRESTRICTED
+
+    def get_endpoints(self, version: str, route: str) -> VersionEndpoints:
+        """Return the endpoints of a version that may run calls of a route."""
+        versions = self.restricted.get(route)
+        if versions is None:
+            return self.versions[version]
+        return versions.get(version, _NO_ENDPOINTS)
+
+    def list_endpoints(self) -> Iterator[Endpoint]:
+        """Iterate over all endpoints; one may occur several times."""
+        for versions in (self.versions, *self.restricted.values()):
+            for version in versions.values():
+                yield from chain.from_iterable(version.tiers)
 
 
 class Snapshot(NamedTuple):
@@ -120,10 +144,8 @@
     return both, rollout.old
 
 
-def _collect_upstreams(
-    members: Iterable[Member],
-) -> dict[tuple[str, str], list[tuple[Member, Upstream]]]:
-    upstreams: dict[tuple[str, str], list[tuple[Member, Upstream]]] = {}
+def _collect_upstreams(members: Iterable[Member]) -> _Upstreams:
+    upstreams: _Upstreams = {}
     for member in members:
         upstream = member.upstream
         if upstream is None or upstream.state is not UpstreamState.READY:
@@ -169,7 +191,8 @@
     document_offset: int,
     config: ConfigState,
     withdrawn: Mapping[tuple[str, str, int], str],
-    upstreams: Mapping[tuple[str, str], list[tuple[Member, Upstream]]],
+    upstreams: _Upstreams,
+    restricted: Iterable[tuple[Route, _Upstreams]],
     nodes: int,
     identity: Identity,
 ) -> ServiceRoutes:
@@ -180,13 +203,55 @@
     shares, fallback = _compute_shares(
         service, rollout, wanted_withdrawn=_is_withdrawn(config, withdrawn, version_key)
     )
-    versions = {
-        share.version: _select_endpoints(
-            upstreams.get((service.name, share.version), ()), nodes=nodes, identity=identity
-        )
-        for share in shares
+
+    def select(usable: _Upstreams) -> dict[str, VersionEndpoints]:
+        return {
+            share.version: _select_endpoints(
+                usable.get((service.name, share.version), ()), nodes=nodes, identity=identity
+            )
+            for share in shares
+        }
+
+    return ServiceRoutes(
+        service.name,
+        shares,
+        fallback,
+        service.objective.latency_ms,
+        select(upstreams),
+        {route.name: select(usable) for route, usable in restricted},
+    )
+
+
+def _collect_restricted(
+    document: Document, members: Sequence[Member]
+) -> dict[str, list[tuple[Route, _Upstreams]]]:
+    """Return the routes that name regions, by service, with the upstreams in their regions."""
+    by_regions: dict[tuple[str, ...], _Upstreams] = {}
+    restricted: dict[str, list[tuple[Route, _Upstreams]]] = {}
+    for route in document.routes:
+        if not route.regions:
+            continue
+        usable = by_regions.get(route.regions)
+        if usable is None:
+            places = _list_places(document, route.regions)
+            usable = _collect_upstreams(m for m in members if m.place in places)
+            by_regions[route.regions] = usable
+        restricted.setdefault(route.service, []).append((route, usable))
+    return restricted
+
+
+def _list_places(document: Document, regions: tuple[str, ...]) -> set[tuple[str, str]]:
+    """Return the data centres of regions, each with the name of its region.
+
+    A node whose settings disagree with the document about the region of its data centre is in
+    none of them: its real place is not known.
+    """
+    return {
+        (data_centre, region.name)
+        for region in document.regions
+        if region.name in regions
+        for data_centre in region.data_centres
     }
-    return ServiceRoutes(service.name, shares, fallback, service.objective.latency_ms, versions)
 
 
 def build_snapshot(
@@ -208,6 +273,7 @@
     member_list = list(members)
     nodes = sum(1 for member in member_list if member.status in _LIVE_STATUSES)
     upstreams = _collect_upstreams(member_list)
+    restricted = _collect_restricted(document, member_list)
     services = {
         service.name: _build_service(
             service,
@@ -215,6 +281,7 @@
             config=config,
             withdrawn=withdrawn,
             upstreams=upstreams,
+            restricted=restricted.get(service.name, ()),
             nodes=nodes,
             identity=identity,
         )
@@ -224,14 +291,19 @@
 
 
 def pick_version(
-    service: ServiceRoutes, rng: random.Random, *, blocked: frozenset[str] = frozenset()
+    service: ServiceRoutes,
+    rng: random.Random,
+    *,
+    blocked: frozenset[str] = frozenset(),
+    route: str = "",
 ) -> str:
     """Pick the version of a call at random, weighted by the shares in force.
 
-    The old version gets the calls of a new version that has no endpoints or is blocked by this
-    node's circuit breaker. The reverse never happens: the new version's share would rise
-    without evidence that the version is good.
+    The old version gets the calls of a new version that has no endpoints for the route or is
+    blocked by this node's circuit breaker. The reverse never happens: the new version's share
+    would rise without evidence that the version is good.
 
+    :param route: name of the call's route, which may restrict the endpoints.
     :returns: the version, or an empty string if no version gets calls.
     """
     shares = service.shares
@@ -244,5 +316,5 @@
     picked = shares[min(bisect.bisect_right(bounds, rng.random()), 1)].version
     if picked == service.fallback or not service.fallback:
         return picked
-    usable = any(service.versions[picked].tiers) and picked not in blocked
+    usable = any(service.get_endpoints(picked, route).tiers) and picked not in blocked
     return picked if usable else service.fallback
--- a/tests/test_document/test_parse.py
+++ b/tests/test_document/test_parse.py
@@ -134,6 +134,18 @@
         "service[2].depends-on",
         "dependency-cycle",
     ),
+    (set_value("route", 0, "regions", value="east"), "route[1].regions", "type-wrong"),
+    (set_value("route", 0, "regions", value=["East"]), "route[1].regions", "value-not-allowed"),
+    (
+        set_value("route", 0, "regions", value=["east"] * 17),
+        "route[1].regions",
+        "value-out-of-range",
+    ),
+    (
+        set_value("route", 0, "regions", value=["east", "south"]),
+        "route[1].regions",
+        "region-missing",
+    ),
     (set_value("route", 1, "methods", value=["GET"]), "route[2].path", "routes-overlap"),
     (set_value("route", 2, "path", value="/**"), "route[3].path", "routes-overlap"),
     (set_value("route", 2, value=OVERLAPPING_ROUTE), "route[3].path", "routes-overlap"),
@@ -202,6 +214,57 @@
     }
 
 
+def test_missing_region_is_reported_with_the_closest_one() -> None:
+    tree = make_tree()
+    tree["route"][0]["regions"] = ["wets"]
+    with pytest.raises(DocumentError) as info:
+        parse(render_toml(tree))
+    (mistake,) = info.value.mistakes
+    assert mistake.message == (
+        'no [[region]] has the name "wets"; did you mean "west"? (in route "read")'
+    )
+
+
+def test_regions_without_a_data_centre_are_reported_at_the_route_too() -> None:
+    tree = make_tree()
+    tree["region"][1]["data-centres"] = []
+    tree["route"][0]["regions"] = ["west"]
+    tree["route"][1]["regions"] = ["west", "east"]
+    assert find_mistakes(tree) == {
+        ("a.toml: region[2].data-centres", "value-out-of-range"),
+        ("a.toml: route[1].regions", "region-empty"),
+    }
+
+
+# A region that is removed makes a route invalid that stays as it is.
+def test_regions_of_an_unchanged_route_are_checked() -> None:
+    tree = make_tree()
+    tree["route"][0]["regions"] = ["west"]
+    previous = parse(render_toml(tree))
+    document = previous._replace(regions=previous.regions[:1])
+    mistakes = check_document(document, written_at=NOW, previous=previous)
+    assert [mistake.code for mistake in mistakes] == ["region-missing"]
+
+
+def test_regions_are_kept_by_rendering_and_shown_in_the_difference() -> None:
+    old = parse(render_toml(make_tree()))
+    tree = make_tree()
+    tree["route"][0]["regions"] = ["west", "east"]
+    new = parse(render_toml(tree))
+    assert parse(render_document(new)) == new
+    assert digest_document(new) != digest_document(old)
+    assert render_difference(old, new) == ("route read: regions [] -> [west, east]",)
+
+
+# Nodes of the release before compute the digest over eight fields of a route, and reject the key.
+def test_document_without_regions_keeps_its_digest_and_its_text() -> None:
+    document = parse(render_toml(make_tree()))
+    routes = tuple(tuple(route)[:8] for route in document.routes)
+    encoded = codec.encode(document._replace(routes=routes))  # type: ignore[arg-type]
+    assert digest_document(document) == codec.compute_digest(encoded).hex()
+    assert "regions" not in render_document(document)
+
+
 def test_unknown_key_is_reported_with_the_closest_known_key() -> None:
     with pytest.raises(DocumentError) as info:
         parse(render_toml(make_tree() | {"servcie": 1}))
--- a/tests/test_routing/builders.py
+++ b/tests/test_routing/builders.py
@@ -32,8 +32,9 @@
     bulk: bool = False,
     deadline_ms: int = 2000,
     service: str = "desk",
+    regions: tuple[str, ...] = (),
 ) -> Route:
-    return Route(name, service, HOST, path, methods, deadline_ms, idempotent, bulk)
+    return Route(name, service, HOST, path, methods, deadline_ms, idempotent, bulk, regions)
 
 
 READ = make_route()
--- a/tests/test_wire/builders.py
+++ b/tests/test_wire/builders.py
@@ -13,7 +13,7 @@
 #: the bytes of that release
 _ADDED_FIELDS = {
     "Call": {"account", "nested"},
-    "Route": {"allowed_regions", "public", "served", "large_requests"},
+    "Route": {"allowed_regions", "public", "served", "large_requests", "regions"},
     "StateDelta": {"evacuated", "accounts", "cold_starts", "config_outdated"},
 }
 
--- a/tests/test_wire/test_encodings.py
+++ b/tests/test_wire/test_encodings.py
@@ -18,6 +18,7 @@
 from balsamhead import operator_responses, wire
 from balsamhead.distribution import _resource
 from balsamhead.document import _model as document_rows
+from balsamhead.document import prepare_document
 from balsamhead.fold import _record, _state
 from balsamhead.link import _handshake
 from balsamhead.log import _model as log_rows
@@ -159,8 +160,19 @@
 }
 
 
+def encode_sample(sample: Any) -> bytes:
+    """Encode a sample as the nodes do."""
+    match sample:
+        case _record.PublishDocument() | _record.Checkpoint():
+            return _record.encode_record(sample)
+        case document_rows.Document():
+            return codec.encode(prepare_document(sample))
+        case _:
+            return _resource._encode_row(sample)
+
+
 def encode_samples() -> dict[str, bytes]:
-    samples = {label: codec.encode(build_sample(kind)) for label, kind in CBOR.items()}
+    samples = {label: encode_sample(build_sample(kind)) for label, kind in CBOR.items()}
     for label, kind in JSON.items():
         samples[label] = msgspec.json.encode(build_sample(kind))
     for label, (number, kind) in FRAMES.items():
@@ -258,6 +270,24 @@
     assert _state_history.decode_delta(data, peer="test") == delta
 
 
+# Nodes of the release before reject a route with a field that they don't know.
+def test_only_routes_that_name_regions_carry_them() -> None:
+    route = build_sample(document_rows.Route)
+    document = build_sample(document_rows.Document)._replace(
+        routes=(route, route._replace(name="text-2", regions=("east",)))
+    )
+    plain, restricted = cbor2.loads(codec.encode(prepare_document(document)))[3]
+    assert (len(plain), restricted[8:]) == (8, [["east"]])
+    record = build_sample(_record.PublishDocument)
+    record = msgspec.structs.replace(record, document=document)
+    assert _record.decode_record(_record.encode_record(record), offset=0) == record
+    state = build_sample(_state.ConfigState)._replace(document=document)
+    checkpoint = msgspec.structs.replace(build_sample(_record.Checkpoint), state=state)
+    assert _record.decode_record(_record.encode_record(checkpoint), offset=0) == checkpoint
+    resource = _resource._encode_row(document.routes[1])
+    assert codec.decode(resource, document_rows.Route, step="test") == document.routes[1]
+
+
 def test_earlier_change_decodes_to_the_sample() -> None:
     data = zlib.compress(bytes.fromhex(read_expected()["change"]))
     assert cbor2.loads(zlib.decompress(data))
