Warn of entries without effect when a document is checked

A document could pass the check although a route in it matched no usual call, no route led to a service, a route's deadline was below the latency objective of its service, connections could not carry the calls that the document plans, or a time due could not be met by any rollout with its settings.

check lists these as warnings with places and codes. A node that only the environment names need not answer.

--- a/balsamhead/_cli/_commands.py
+++ b/balsamhead/_cli/_commands.py
@@ -74,19 +74,22 @@
 
 @cappa.command(name="check", help="Check a document without publishing it.")
 @dataclass
-class Check:
-    """Options of ``check``."""
+class Check(RemoteCommand):
+    """Options of ``check``, which asks a node only for the document in force."""
 
-    file: Annotated[str, _FILE_ARGUMENT]
+    file: Annotated[str, _FILE_ARGUMENT] = field(kw_only=False)
     against: Annotated[
         str,
         cappa.Arg(
             long=True,
             value_name="FILE",
-            help="Document in force: shows what differs; its times due may have passed.",
+            help="Document in force: shows what differs; its times due may have passed. "
+            "No node is asked.",
         ),
     ] = ""
-    json: Annotated[bool, _JSON_FLAG] = False
+    fail_on_warnings: Annotated[
+        bool, cappa.Arg(long=True, help="Exit with 10 if there are warnings.")
+    ] = False
 
 
 @cappa.command(name="publish", help="Publish a document in the environment of a node.")
--- a/balsamhead/_cli/_exit_codes.py
+++ b/balsamhead/_cli/_exit_codes.py
@@ -24,6 +24,7 @@
     AUTHENTICATION = 7
     ROLLED_BACK = 8
     TIMED_OUT = 9
+    WARNINGS = 10
 
 
 _EXIT_BY_OUTCOME: Final = {
--- a/balsamhead/_cli/_run.py
+++ b/balsamhead/_cli/_run.py
@@ -6,7 +6,7 @@
 import re
 import tomllib
 from pathlib import Path
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead._cli._commands import (
     Check,
@@ -28,12 +28,15 @@
 from balsamhead.document import (
     MAX_DOCUMENT_BYTES,
     Document,
+    Mistake,
     digest_document,
+    find_warnings,
     parse_document,
     render_difference,
 )
 from balsamhead.errors import BalsamheadError, OperatorError
 from balsamhead.operator import OperatorClient
+from balsamhead.rollout import get_shortest_rollout_s
 from balsamhead.settings import KEY_VARIABLES, load_key, render_reference
 from balsamhead.util.secret import Secret
 
@@ -43,10 +46,23 @@
 
 __all__ = ("run_command",)
 
+#: largest number of warnings that are printed as text
+MAX_WARNINGS: Final = 200
+
 _NODE_VARIABLE: Final = "BALSAMHEAD_NODE"
 _TOKEN_VARIABLE: Final = KEY_VARIABLES["operator_token_file"]
 
 
+class _InForce(NamedTuple):
+    """The document in force that a checked document is compared with."""
+
+    document: Document | None = None
+    #: file or node that it comes from; empty if there is none
+    source: str = ""
+    #: why there is none although a node is named; empty otherwise
+    reason: str = ""
+
+
 def run_command(command: Command, console: Console) -> int:
     """Run a command, print its result or its error, and return the exit code.
 
@@ -105,22 +121,96 @@
 
 
 def _check(command: Check, console: Console) -> int:
-    previous = _parse_file(command.against, console) if command.against else None
-    document = _parse_file(command.file, console, previous=previous)
-    digest = digest_document(document)
-    lines = list(render_difference(previous, document)) if previous else []
+    in_force = _find_in_force(command, console)
+    text = _read_text(command.file, console)
+    written_at = console.now()
+    document = parse_document(
+        text, file=command.file, written_at=written_at, previous=in_force.document
+    )
+    warnings = find_warnings(
+        document,
+        written_at=written_at,
+        get_shortest_rollout_s=get_shortest_rollout_s,
+        previous=in_force.document,
+    )
     if command.json:
-        console.print_json({"file": command.file, "digest": digest, "difference": lines})
-        return ExitCode.DONE
+        _print_check_as_json(command, console, document, in_force, warnings)
+    else:
+        _print_check(command, console, document, in_force, warnings)
+    return ExitCode.WARNINGS if warnings and command.fail_on_warnings else ExitCode.DONE
+
+
+def _print_check_as_json(
+    command: Check,
+    console: Console,
+    document: Document,
+    in_force: _InForce,
+    warnings: tuple[Mistake, ...],
+) -> None:
+    body = {
+        "file": command.file,
+        "digest": digest_document(document),
+        "difference": _list_differences(in_force, document),
+        "compared_with": in_force.source,
+        "not_compared": in_force.reason,
+        "warnings": [warning._asdict() for warning in warnings],
+    }
+    console.print_json(body)
+
+
+def _print_check(
+    command: Check,
+    console: Console,
+    document: Document,
+    in_force: _InForce,
+    warnings: tuple[Mistake, ...],
+) -> None:
+    file = command.file
+    if in_force.reason:
+        console.print_error_lines([f"balsamhead: not compared: {in_force.reason}"])
+    noun = "warning" if len(warnings) == 1 else "warnings"
+    found = f"no mistakes, {len(warnings):,} {noun}" if warnings else "no mistakes"
     counts = f"{len(document.services)} services, {len(document.routes)} routes"
-    console.print_lines([f"{command.file}: no mistakes; {counts}, digest {digest}"])
-    console.print_lines(f"  {line}" for line in lines)
-    return ExitCode.DONE
+    console.print_lines([f"{file}: {found}; {counts}, digest {digest_document(document)}"])
+    console.print_lines(f"{file}: warning: {row}" for row in warnings[:MAX_WARNINGS])
+    if len(warnings) > MAX_WARNINGS:
+        console.print_lines([f"{file}: and {len(warnings) - MAX_WARNINGS:,} more warnings"])
+    differences = _list_differences(in_force, document)
+    if in_force.source and not command.against:
+        found = "differs from" if differences else "is the same as"
+        console.print_lines([f"{file}: {found} the document in force on {in_force.source}"])
+    console.print_lines(f"  {line}" for line in differences)
+
+
+def _list_differences(in_force: _InForce, document: Document) -> list[str]:
+    return list(render_difference(in_force.document, document)) if in_force.document else []
+
+
+def _find_in_force(command: Check, console: Console) -> _InForce:
+    """Return the document in force from the file or the node that is named.
+
+    A node that only the environment names need not answer, since a check needs no node.
+
+    :raises BalsamheadError: the file, or the node that an option names, has no valid document.
+    """
+    if command.against:
+        text = _read_text(command.against, console)
+        return _InForce(_parse_in_force(text, command.against, console), command.against)
+    address = command.node or console.environ.get(_NODE_VARIABLE, "")
+    if not address:
+        return _InForce()
+    try:
+        text = _make_client(command, console).fetch_document()
+        source = f"node {address}"
+        return _InForce(_parse_in_force(text, source, console), source)
+    except BalsamheadError as exc:
+        if command.node and exc.error_code != "document-missing":
+            raise
+        return _InForce(reason=str(exc))
 
 
-def _parse_file(file: str, console: Console, *, previous: Document | None = None) -> Document:
-    text = _read_text(file, console)
-    return parse_document(text, file=file, written_at=console.now(), previous=previous)
+def _parse_in_force(text: str, file: str, console: Console) -> Document:
+    return parse_document(text, file=file, written_at=console.now(), is_in_force=True)
 
 
 def _print_document(client: OperatorClient, command: Show, console: Console) -> int:
--- a/balsamhead/document/__init__.py
+++ b/balsamhead/document/__init__.py
@@ -22,6 +22,7 @@
 from balsamhead.document._path import split_pattern
 from balsamhead.document._render import render_document
 from balsamhead.document._schema import MAX_DOCUMENT_BYTES, MAX_FIRST_SHARE, PRESETS
+from balsamhead.document._warnings import find_warnings
 from balsamhead.errors import DocumentError, Mistake
 
 __all__ = (
@@ -38,6 +39,7 @@
     "Service",
     "check_document",
     "digest_document",
+    "find_warnings",
     "parse_document",
     "prepare_document",
     "prepare_route",
--- a/balsamhead/document/_parse.py
+++ b/balsamhead/document/_parse.py
@@ -82,7 +82,12 @@
 
 
 def parse_document(
-    text: str, *, file: str, written_at: float, previous: Document | None = None
+    text: str,
+    *,
+    file: str,
+    written_at: float,
+    previous: Document | None = None,
+    is_in_force: bool = False,
 ) -> Document:
     """Parse and check the text of a document.
 
@@ -90,13 +95,17 @@
     :param written_at: when the document is published, in s since the epoch.
     :param previous: the document in force; a due time that is unchanged from it may lie in the
         past.
+    :param is_in_force: the text is that of the document in force, whose due times are not checked.
     :raises DocumentError: the document has mistakes; the error lists the first 200 of them.
     """
     reader = _TreeReader()
     tree = reader.parse_toml(text)
     document = reader.read_document(tree) if tree is not None else None
     if document is not None:
-        reader.add_mistakes(check_document(document, written_at=written_at, previous=previous))
+        mistakes = check_document(document, written_at=written_at, previous=previous)
+        reader.add_mistakes(
+            row for row in mistakes if not (is_in_force and row.code == "time-due-impossible")
+        )
     if document is None or reader.mistakes:
         raise _make_error(file, reader.mistakes, tree or {})
     return sort_document(document)
--- a/balsamhead/rollout/__init__.py
+++ b/balsamhead/rollout/__init__.py
@@ -21,6 +21,7 @@
     Plan,
     PlannedStage,
     count_needed_calls,
+    get_shortest_rollout_s,
     plan_rollout,
     plan_shares,
 )
@@ -55,6 +56,7 @@
     "count_needed_calls",
     "decide",
     "describe_next",
+    "get_shortest_rollout_s",
     "make_operator_record",
     "plan_remaining",
     "plan_rollout",
--- a/balsamhead/rollout/_plan.py
+++ b/balsamhead/rollout/_plan.py
@@ -19,7 +19,14 @@
 
     from balsamhead.document import RolloutPolicy
 
-__all__ = ("Plan", "PlannedStage", "count_needed_calls", "plan_rollout", "plan_shares")
+__all__ = (
+    "Plan",
+    "PlannedStage",
+    "count_needed_calls",
+    "get_shortest_rollout_s",
+    "plan_rollout",
+    "plan_shares",
+)
 
 #: failure rate of the new version that a stage must be able to detect, 0 to 1
 DETECTABLE_FAILURE_RATE: Final = 0.05
@@ -168,6 +175,18 @@
     return Plan(tuple(steps), can_be_met, done_at, waits_for)
 
 
+def get_shortest_rollout_s(policy: RolloutPolicy) -> float:
+    """Return the shortest time in s from the start of a rollout to a due time that it can meet.
+
+    A rollout needs at least this time with any number of calls; most need more.
+    """
+    stages = len(plan_shares(policy, 0.0)) - 1
+    duration_s = COLD_START_S + stages * MIN_STAGE_DURATION_S
+    # the time from which a margin of _MARGIN_SHARE of it is taken, within its bounds
+    with_margin_s = min(duration_s / (1.0 - _MARGIN_SHARE), duration_s + _MAX_MARGIN_S)
+    return max(duration_s + _MIN_MARGIN_S, with_margin_s)
+
+
 def _is_first_stage(policy: RolloutPolicy, share: float) -> bool:
     return 0.0 < share <= clamp_first_share(policy)
 
--- a/tests/test_cli/test_main.py
+++ b/tests/test_cli/test_main.py
@@ -64,6 +64,93 @@
     assert "  route queue-position: deadline-ms 2000 -> 1500\n" in result.out
 
 
+# The document in force was refused once its times due had passed.
+def test_times_due_of_the_document_in_force_may_have_passed(
+    program: Program, tmp_path: Path
+) -> None:
+    file = tmp_path / "a.toml"
+    file.write_text(render_toml(make_tree()))
+    program.now += 700
+    assert program.run("check", str(file)).code == ExitCode.DOCUMENT_INVALID
+    assert program.run("check", str(file), "--against", str(file)).code == ExitCode.DONE
+
+
+def test_check_shows_warnings_and_fails_on_them_only_if_asked(
+    program: Program, tmp_path: Path
+) -> None:
+    file = tmp_path / "a.toml"
+    tree = make_tree()
+    tree["route"][0]["deadline-ms"] = 100
+    file.write_text(render_toml(tree))
+    result = program.run("check", str(file))
+    assert result.code == ExitCode.DONE
+    first, second = result.out.splitlines()
+    assert first.startswith(f"{file}: no mistakes, 1 warning; 2 services, 3 routes, digest ")
+    assert second == (
+        f'{file}: warning: route "read".deadline-ms: calls end after 100 ms, before the latency-ms '
+        '250 of service "desk" [deadline-below-objective]'
+    )
+    result = program.run("check", str(file), "--fail-on-warnings", "--json")
+    assert result.code == ExitCode.WARNINGS
+    (warning,) = json.loads(result.out)["warnings"]
+    assert (warning["place"], warning["code"]) == (
+        'route "read".deadline-ms',
+        "deadline-below-objective",
+    )
+    assert program.run("check", PLOTLIST, "--fail-on-warnings").code == ExitCode.DONE
+
+
+def test_check_shows_the_difference_from_the_document_on_the_node(
+    program: Program, node: FakeNode
+) -> None:
+    text = Path(PLOTLIST).read_text()
+    node.document = parse_document(text, file="a.toml", written_at=0.0)
+    try:
+        same = program.run("check", PLOTLIST)
+        changed = text.replace("deadline-ms = 2000", "deadline-ms = 1500")
+        other = program.run("check", "-", "--node", node.address, stdin=changed)
+        body = json.loads(program.run("check", "-", "--json", stdin=changed).out)
+    finally:
+        node.document = None
+    source = f"node {node.address}"
+    line = "route queue-position: deadline-ms 2000 -> 1500"
+    assert same.out.endswith(f"is the same as the document in force on {source}\n")
+    assert other.out.splitlines()[1:] == [
+        f"-: differs from the document in force on {source}",
+        f"  {line}",
+    ]
+    assert (body["compared_with"], body["difference"]) == (source, [line])
+    assert not node.events
+
+
+# A check needs no node: the environment of an operator may name one that is down.
+@pytest.mark.parametrize("variable", ["BALSAMHEAD_NODE", "BALSAMHEAD_OPERATOR_TOKEN"])
+def test_check_runs_without_the_node_of_the_environment(program: Program, variable: str) -> None:
+    program.environ[variable] = "127.0.0.1:1" if variable == "BALSAMHEAD_NODE" else ""
+    result = program.run("check", PLOTLIST)
+    assert result.code == ExitCode.DONE
+    assert result.err.startswith("balsamhead: not compared: ")
+    result = program.run("check", PLOTLIST, "--json")
+    assert (result.code, result.err) == (ExitCode.DONE, "")
+    body = json.loads(result.out)
+    assert body["compared_with"] == ""
+    assert body["not_compared"]
+
+
+def test_check_fails_if_the_node_of_its_option_does_not_answer(program: Program) -> None:
+    assert program.run("check", PLOTLIST, "--node", "127.0.0.1:1").code == ExitCode.UNREACHABLE
+    program.environ["BALSAMHEAD_OPERATOR_TOKEN"] = "wrong-token-of-the-tests"
+    result = program.run("check", PLOTLIST, "--node", program.environ["BALSAMHEAD_NODE"])
+    assert result.code == ExitCode.AUTHENTICATION
+
+
+def test_check_with_a_node_without_a_document_says_so(program: Program, node: FakeNode) -> None:
+    result = program.run("check", PLOTLIST, "--node", node.address)
+    assert result.code == ExitCode.DONE
+    assert "not compared: no document is in force yet" in result.err
+    assert result.out.count("\n") == 1
+
+
 def test_publish_reports_the_accepted_version(program: Program, node: FakeNode) -> None:
     digest = program.run("check", PLOTLIST).out.split()[-1]
     node.answer = msgspec.structs.replace(ACCEPTED, digest=digest)
