--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -479,7 +479,7 @@
 
     def _make_frame_handlers(self) -> dict[int, Callable[[Peer, Link, Frame], None]]:
         return {
-            FrameKind.CONFIG: self._sync.handle_delta,
+            FrameKind.CONFIG: lambda peer, link, frame: self._sync.handle_delta(peer, link, frame),
             FrameKind.CONFIG_PULL: self._send_delta,
             FrameKind.STORE_NEAR: lambda peer, _, frame: self._sync.handle_store_near(peer, frame),
             FrameKind.FRESHNESS_QUERY: lambda _, link, frame: self._freshness.handle_query(
