Grant tokens in advance only from the upper half of a bucket, and begin with 5

Cause: nodes that expect requests took tokens in advance, and requests that arrived earlier elsewhere were refused although their account was within its limit. After the end of all nodes the buckets of small accounts began with one token.

Change: a request for tokens says which are for waiting requests and which for expected ones; the latter come from the upper half of the bucket. A new owner's bucket holds at least 5 tokens, out of the 20 requests that are tolerated beyond a quota.

--- a/balsamhead/mesh/_quota_exchange.py
+++ b/balsamhead/mesh/_quota_exchange.py
@@ -66,9 +66,12 @@
     account: str
     #: number that the answer repeats
     number: int
+    #: tokens for requests that wait
     tokens: int
     #: tokens of earlier grants that expired without having been used
     unused: int
+    #: tokens besides, for requests that are expected soon
+    spare: int = 0
 
 
 class QuotaGrant(NamedTuple):
@@ -265,7 +268,7 @@
         if not self._is_ready():
             return _Answer(decided=False, other_owner=True)
         now, name = self._loop.time(), account.name
-        number, _, unused = self._share.record_sent(name, self._own_name, 1, now)
+        number, _, unused = self._share.record_sent(name, self._own_name, now)
         grant = self._owner.request(account, self._own_name, 1, now, unused=unused)
         self._metrics.count("quota_tokens_granted", amount=grant.tokens)
         self._share.record_grant(name, number, *grant, now)
@@ -278,10 +281,14 @@
         link = None if peer is None else self._link_manager.get_link(peer)
         if link is None or self._share.is_owner_silent(name, now):
             return None
-        number, count, unused = self._share.record_sent(name, owner, self._waiting[name], now)
+        number, spare, unused = self._share.record_sent(name, owner, now)
         timer = self._loop.call_later(ANSWER_TIMEOUT_S, self._handle_timeout, name)
         flight = self._flights[name] = _Flight(number, owner, timer)
-        link.send(FrameKind.QUOTA_REQUEST, 0, QuotaRequest(name, number, count, unused))
+        link.send(
+            FrameKind.QUOTA_REQUEST,
+            0,
+            QuotaRequest(name, number, self._waiting[name], unused, spare),
+        )
         self._metrics.count("quota_requests")
         return flight
 
@@ -440,6 +447,7 @@
                 max(0, request.tokens),
                 now,
                 unused=max(0, request.unused),
+                spare=max(0, request.spare),
             )
             self._metrics.count("quota_tokens_granted", amount=grant.tokens)
         answer = QuotaGrant(request.account, request.number, *grant, owner)
--- a/balsamhead/mesh/quotas/_bucket.py
+++ b/balsamhead/mesh/quotas/_bucket.py
@@ -42,6 +42,11 @@
         self._tokens -= taken
         return taken
 
+    def take_upper_half(self, count: int, now: float) -> int:
+        """Take up to ``count`` whole tokens beyond half of the capacity; return how many."""
+        self._refill(now)
+        return self.take(max(0, min(count, int(self._tokens - self._capacity / 2))), now)
+
     def give_back(self, count: int, now: float) -> None:
         """Return tokens that were not used."""
         self._refill(now)
--- a/balsamhead/mesh/quotas/_owner.py
+++ b/balsamhead/mesh/quotas/_owner.py
@@ -14,8 +14,11 @@
 
 __all__ = ("Grant", "QuotaOwner", "compute_share")
 
-#: what a new owner's bucket holds, as the time in which the rate yields it, in s
+#: what a new owner's bucket holds, as the time in which the rate yields it, in s, and at least as
+#: a number of requests. Another node may have granted the whole quota just before, so this comes
+#: out of what is tolerated beyond it: a tenth, and 20 requests.
 _FRESH_S: Final = 0.1
+_FRESH_TOKENS: Final = 5.0
 #: gap between two calls after which the process counts as paused, in s; the node calls every 0.2 s
 _MAX_GAP_S: Final = 1.0
 #: how long the content of a bucket is remembered after another node became its owner, in s; as long
@@ -128,11 +131,21 @@
             self._apply_limit(owned, now)
 
     def request(
-        self, account: Account, node: str, count: int, now: float, *, unused: int = 0
+        self,
+        account: Account,
+        node: str,
+        count: int,
+        now: float,
+        *,
+        unused: int = 0,
+        spare: int = 0,
     ) -> Grant:
         """Grant up to ``count`` tokens of an account that this node owns to a node.
 
         :param unused: tokens of earlier grants that the node has not used and that have expired.
+        :param spare: tokens that the node would like besides, for requests that it expects. They
+            are granted only from the upper half of the bucket: below, they would be missing for
+            requests that arrive earlier elsewhere.
         """
         self.record_running(now)
         owned = self._owned.get(account.name)
@@ -144,6 +157,8 @@
         if unused > 0:
             self._take_back(owned, node, unused, now)
         taken = owned.bucket.take(count, now)
+        if taken == count and spare > 0:
+            taken += owned.bucket.take_upper_half(spare, now)
         if taken:
             owned.granted[node] = owned.granted.get(node, 0) + taken
             return Grant(taken)
@@ -164,7 +179,7 @@
     def _make_bucket(self, account: Account, now: float) -> TokenBucket:
         rate = account.rate_per_s * self._share
         gained = rate * (now - self._stable_since)
-        tokens = max(1.0, account.rate_per_s * _FRESH_S)
+        tokens = max(_FRESH_TOKENS, account.rate_per_s * _FRESH_S)
         former, left_at = self._former.pop(account.name, (math.inf, 0.0))
         if now - left_at < _FORMER_S:
             tokens = min(tokens, former)
--- a/balsamhead/mesh/quotas/_share.py
+++ b/balsamhead/mesh/quotas/_share.py
@@ -18,8 +18,8 @@
 TERM_S: Final = 0.4
 #: time constant of the mean demand, in s
 _DEMAND_S: Final = 1.0
-#: largest number of tokens in one request
-_MAX_REQUESTED: Final = 256
+#: largest number of tokens in one request for requests that are expected
+_MAX_SPARE: Final = 256
 #: how long an owner that hasn't answered is asked nothing, in s
 _SILENT_OWNER_S: Final = 0.5
 #: how long an owner that has answered late isn't replaced by the static share, in s
@@ -197,10 +197,11 @@
             return 0.0, 0.0
         return held.blocked_until - now, max(held.blocked_until, held.retry_at) - now
 
-    def record_sent(self, name: str, owner: str, waiting: int, now: float) -> tuple[int, int, int]:
+    def record_sent(self, name: str, owner: str, now: float) -> tuple[int, int, int]:
         """Record that a request for tokens is sent.
 
-        :return: its number, how many tokens to request, and how many are reported as unused.
+        :return: its number, how many tokens to request for requests that are expected soon, and
+            how many are reported as unused.
         """
         held = self._held.setdefault(name, _Held(now))
         self._number += 1
@@ -212,7 +213,7 @@
             unused = sum(count for at, count in held.expired if now - at < _REPORT_S)
         held.expired.clear()
         held.owner = owner
-        return self._number, min(_MAX_REQUESTED, waiting + expected), unused
+        return self._number, min(_MAX_SPARE, expected), unused
 
     def record_timeout(self, name: str, owner: str, now: float) -> bool:
         """Record that an owner hasn't answered in time; return whether it counts as unreachable.
