Move the state of cold upstreams out of LocalUpstream

Whether the upstream is cold, the signs of it, and the log lines and counter are now in ColdGuard; LocalUpstream asks it. Behaviour, events and codes are unchanged.

--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -353,7 +353,7 @@
         if state.config is not None:
             self._caller_side.set_config(state.config)
             cold_starts = state.config.cold_starts or {}
-            self._local_upstream.set_cold_start(cold_starts.get(self._cfg.service))
+            self._local_upstream.cold_guard.set_cold_start(cold_starts.get(self._cfg.service))
             self._upstream_index.set_cold_starts(cold_starts)
             accounts = state.config.accounts is not None
             self._caller_server.set_dropped_headers(get_dropped_request_headers(accounts=accounts))
@@ -369,7 +369,7 @@
         # schedule the next run first, so that an exception here does not end the series
         self._timers[:] = [self._loop.call_later(_TICK_INTERVAL_S, self._tick)]
         self._sync.pull_if_behind()
-        self._local_upstream.update_cold_state()
+        self._local_upstream.cold_guard.update()
         self._freshness.update()
         if self._describe_upstream() != self._announced_upstream:
             self._upstream_changed()
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -20,6 +20,7 @@
     ResponseNotices,
     UpstreamResponse,
 )
+from balsamhead.mesh._cold_guard import ColdGuard
 from balsamhead.mesh._connection_pool import ConnectionPool
 from balsamhead.mesh._crash_guard import TRIAL_CODES, CrashGuard
 from balsamhead.mesh._departures import Departures
@@ -35,8 +36,7 @@
     compute_nested_wait,
 )
 from balsamhead.mesh.model import Load, RouteKind, UpstreamNotice, UpstreamRecord, UpstreamState
-from balsamhead.mesh.warmup import ColdAdmission, ColdReason, LossSigns
-from balsamhead.util.pauses import PauseDetector
+from balsamhead.mesh.warmup import ColdReason
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -45,7 +45,7 @@
     from balsamhead.mesh._metrics import MeshMetrics
     from balsamhead.mesh._placement import Placement
     from balsamhead.mesh._upstream_connection import UpstreamConnection
-    from balsamhead.mesh.model import ColdStart, Config, Departure
+    from balsamhead.mesh.model import Config, Departure
 
 __all__ = ("CallResult", "LocalUpstream")
 
@@ -60,11 +60,6 @@
 _SILENT_ANNOUNCEMENTS: Final = 2
 #: time after the deadline of a call at which its streamed response is cut, in s
 _STREAM_GRACE_S: Final = 0.5
-#: codes of the loss of a connection before and after the first byte of the response
-_UNHEARD_LOSS: Final = "connection-lost-unheard"
-_LOSS_CODES: Final = (_UNHEARD_LOSS, "connection-lost")
-#: longest time between two checks for a pause of the process, in s
-_PAUSE_CHECK_INTERVAL_S: Final = 0.3
 #: upper bound of a refusal's Retry-After, in s
 _MAX_RETRY_AFTER_S: Final = 0.3
 #: lower bound of a refusal's Retry-After, in s
@@ -116,22 +111,19 @@
         self._on_result = on_result
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
-        self._cold = ColdAdmission(
-            silence_s=announce_interval_s * _SILENT_ANNOUNCEMENTS, now=self._loop.time()
-        )
-        self._cold_reason: ColdReason | None = None
-        self._loss_signs = LossSigns()
-        self._pauses = PauseDetector(
-            read_boot_time=read_boot_time or self._loop.time,
-            get_time=self._loop.time,
-            interval_s=_PAUSE_CHECK_INTERVAL_S,
+        self.cold_guard = ColdGuard(
+            silence_s=announce_interval_s * _SILENT_ANNOUNCEMENTS,
+            get_record=lambda: self.record,
+            on_change=self._cold_state_changed,
+            metrics=metrics,
+            read_boot_time=read_boot_time,
         )
         #: services that the upstream calls, and the limit of new requests that follows from them
         self.called_services = CalledServices()
         self._slots = SlotQueue(
             count_slots=self._count_slots,
             metrics=metrics,
-            cold=self._cold,
+            cold=self.cold_guard.admission,
             get_new_limit=self.get_new_limit,
         )
         self._busy_logged_at = -math.inf
@@ -181,7 +173,7 @@
         now = self._loop.time()
         if self._precedes_recalled(record) or not self._order.accept(record, now):
             return False
-        self._check_pause()
+        self.cold_guard.check_pause()
         if self.departures.has_left(record):
             record = record._replace(state=UpstreamState.DRAINING)
         elif record.state is UpstreamState.DRAINING:
@@ -200,10 +192,7 @@
         self.record = record
         self._announced_at = now
         self._slow_start_ends_at = now + record.slow_start_s
-        self._cold.apply_heartbeat(
-            started_at_ms=record.started_at_ms, cold_s=record.slow_start_s, now=now
-        )
-        self.update_cold_state()
+        self.cold_guard.apply_heartbeat(record, now)
         if self._unavailable_until:
             self._unavailable_until = 0.0
             changed = True
@@ -331,56 +320,18 @@
 
     def is_in_slow_start(self) -> bool:
         """Return whether the upstream is in slow start, or treated as cold."""
-        now = self._loop.time()
-        return now < self._slow_start_ends_at or self._cold.is_cold(now)
-
-    # -- cold upstream -----------------------------------------------------------------------
-
-    def set_cold_start(self, cold_start: ColdStart | None) -> None:
-        """Change what the upstream takes while cold; None if its service has no cold phase."""
-        self._cold.set_cold_start(cold_start, self._loop.time())
-        self.update_cold_state()
+        return self._loop.time() < self._slow_start_ends_at or self.cold_guard.is_cold()
 
     def assume_cold(self, reason: ColdReason) -> None:
         """Treat the upstream as cold until its next heartbeat, since it may have started again."""
-        self._cold.assume_cold(reason, self._loop.time())
-        self.update_cold_state()
-
-    def update_cold_state(self) -> None:
-        """Log whether the upstream is treated as cold if that has changed, and tell the peers."""
-        self._check_pause()
-        previous, reason = self._cold_reason, self._cold.get_reason(self._loop.time())
-        if reason is previous:
-            return
-        self._cold_reason = reason
-        upstream_id = self.record.id if self.record is not None else ""
-        if reason is None:
-            logger.info("upstream-warm", extra={"upstream": upstream_id})
-        else:
-            cold_start = self._cold.cold_start
-            logger.info(
-                "upstream-cold",
-                extra={
-                    "upstream": upstream_id,
-                    "reason": reason,
-                    "rate_per_s": cold_start.rate_per_s if cold_start is not None else None,
-                },
-            )
-        if previous is None or reason is None:
-            self._on_change()
-            self._slots.start_queued()
+        self.cold_guard.assume_cold(reason)
 
-    def _check_pause(self) -> None:
-        """Assume that the upstream is cold if the process did not run for some time."""
-        pause_s = self._pauses.check()
-        if not pause_s:
-            return
-        self._cold.assume_cold(ColdReason.PAUSE, self._loop.time())
-        if self._cold.cold_start is not None:
-            logger.warning("process-paused", extra={"pause_s": round(pause_s, 2)})
+    def _cold_state_changed(self) -> None:
+        self._on_change()
+        self._slots.start_queued()
 
     def _refuse_cold(self, stage: str) -> Refused:
-        self._metrics.count("cold_admissions_held", stage)
+        self.cold_guard.count_held(stage)
         return self._refuse("upstream-cold")
 
     def get_load(self) -> Load:
@@ -464,7 +415,7 @@
         return await self._exchange(call, body, rest, deadline, limited)
 
     def _check_admission(self, call: Call) -> Refused | None:
-        self._check_pause()
+        self.cold_guard.check_pause()
         record = self.record
         misplacement = self._find_misplacement(call)
         if misplacement:
@@ -487,7 +438,7 @@
                 return self._refuse_cold("refused")
             return self._refuse_for_room("upstream-busy", call)
         if held:
-            self._metrics.count("cold_admissions_held", "queued")
+            self.cold_guard.count_held("queued")
         return None
 
     def _is_limited(self, call: Call) -> bool:
@@ -632,8 +583,8 @@
         if refusal is not None:
             self._connections.release(conn)
             return refusal
-        self._check_pause()
-        if not self._cold.try_send(started_at):
+        self.cold_guard.check_pause()
+        if not self.cold_guard.admission.try_send(started_at):
             self._connections.release(conn)
             return self._refuse_cold("unsent")
 
@@ -648,7 +599,7 @@
             self._connections.release(conn)
             slot_hold.release()
             self.crash_guard.finish(running, outcome)
-            self._check_loss(outcome, fresh=fresh)
+            self.cold_guard.check_loss(outcome, fresh=fresh)
             if not call.nested:
                 self.called_services.record_request(call.route, calls_before=calls_before)
 
@@ -675,14 +626,6 @@
         self._record_outcome(call, record, outcome, took_s * 1000)
         return outcome
 
-    def _check_loss(self, outcome: Outcome, *, fresh: bool) -> None:
-        """Assume that the upstream is cold if connections are lost as in a crash."""
-        if not isinstance(outcome, OutcomeUnknown) or outcome.code not in _LOSS_CODES:
-            return
-        heard = outcome.code != _UNHEARD_LOSS
-        if self._loss_signs.record_loss(self._loop.time(), fresh=fresh, heard=heard):
-            self.assume_cold(ColdReason.CRASH)
-
     def _apply_notices(self, call: Call, record: UpstreamRecord, notices: ResponseNotices) -> None:
         if self.record is None or self.record.started_at_ms != record.started_at_ms:
             # the response is of an earlier incarnation
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -37,6 +37,7 @@
         "_fingerprint",
         "_frames",
         "_order_history",
+        "_cold_guard",
         "_flow_control",
         "_link_headers",
         "_placement",
