Move the limit of new requests out of LocalUpstream

Which requests make nested calls, the limit that follows from the outcomes of those, and the count and log line of refusals for it are now in NestedCallLimit. Behaviour, events and codes are unchanged.

--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -545,7 +545,9 @@
         register_gauge("key_proof_age_seconds", self._freshness.read_gauge)
         register_gauge("requests_running", lambda: {"": self._local_upstream.running})
         register_gauge("requests_waiting", lambda: {"": self._local_upstream.get_load().waiting})
-        register_gauge("new_requests_limit", self._local_upstream.describe_new_limit)
+        register_gauge(
+            "new_requests_limit", self._local_upstream.nested_call_limit.describe_new_limit
+        )
         register_gauge("requests_suspected", lambda: {"": len(self._crash_registry)})
         register_gauge(
             "requests_refused_for_crashes", lambda: {"": self._crash_registry.count_refused()}
--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -245,7 +245,7 @@
         served = reply.status not in _UNSERVED_STATUSES
         if trace.nested:
             late = is_late(self._loop.time() - request.received_at, route.objective_s)
-            self._local.record_nested_call(service, failed=late or not served)
+            self._local.nested_call_limit.record_nested_call(service, failed=late or not served)
         else:
             self._fairness.record(service, route.priority, served=served)
         self._metrics.observe(
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 import time
 from collections import Counter
 from typing import TYPE_CHECKING, Final, NamedTuple
@@ -24,17 +23,12 @@
 from balsamhead.mesh._connection_pool import ConnectionPool
 from balsamhead.mesh._crash_guard import TRIAL_CODES, CrashGuard
 from balsamhead.mesh._departures import Departures
+from balsamhead.mesh._nested_call_limit import NestedCallLimit
 from balsamhead.mesh._peers import merge_notices
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
 from balsamhead.mesh._upstream_statistics import UpstreamStatistics
-from balsamhead.mesh.admission import (
-    CALLED_SERVICE_BUSY,
-    NESTED_PRIORITY,
-    CalledServices,
-    NestedRoutes,
-    compute_nested_wait,
-)
+from balsamhead.mesh.admission import compute_nested_wait
 from balsamhead.mesh.model import Load, RouteKind, UpstreamNotice, UpstreamRecord, UpstreamState
 from balsamhead.mesh.warmup import ColdReason
 
@@ -66,8 +60,6 @@
 _MIN_RETRY_AFTER_S: Final = 0.03
 #: the upper bound where a called service has no room, in s; it takes longer to get some
 _MAX_BUSY_RETRY_AFTER_S: Final = 1.0
-#: shortest interval between two log lines on refusals for lack of room at called services, in s
-_BUSY_LOG_INTERVAL_S: Final = 1.0
 
 
 class CallResult(NamedTuple):
@@ -118,15 +110,19 @@
             metrics=metrics,
             read_boot_time=read_boot_time,
         )
-        #: services that the upstream calls, and the limit of new requests that follows from them
-        self.called_services = CalledServices()
+        self.nested_call_limit = NestedCallLimit(
+            count_slots=self._count_slots,
+            count_running_limited=lambda: self._slots.running_limited,
+            metrics=metrics,
+        )
+        self.called_services = self.nested_call_limit.called_services
+        self.nested_routes = self.nested_call_limit.nested_routes
         self._slots = SlotQueue(
             count_slots=self._count_slots,
             metrics=metrics,
             cold=self.cold_guard.admission,
             get_new_limit=self.get_new_limit,
         )
-        self._busy_logged_at = -math.inf
         self._announced_at = 0.0
         self._slow_start_ends_at = 0.0
         self._unavailable_until = 0.0
@@ -145,8 +141,6 @@
             on_crash=lambda: self.assume_cold(ColdReason.CRASH),
         )
         self._statistics = UpstreamStatistics()
-        #: routes whose requests are calls that upstreams make while they run others
-        self.nested_routes = NestedRoutes()
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
         #: where the operator allows requests to be served; None for everywhere
@@ -390,10 +384,8 @@
         """
         now = self._loop.time()
         deadline = now + call.remaining_ms / 1000
-        self.nested_routes.record(call.route, call.caller_service, now)
-        if call.nested or self.nested_routes.is_nested(call.route, now):
-            call = call._replace(nested=True, priority=NESTED_PRIORITY)
-        limited = self._is_limited(call)
+        call = self.nested_call_limit.classify(call)
+        limited = self.nested_call_limit.is_limited(call)
         if call.nested and not self._slots.has_free_slot():
             self.called_services.record_wait(now)
         refusal = self._check_admission(call) or self._check_crashes(call, body)
@@ -424,7 +416,7 @@
             return self._refuse("upstream-unavailable")
         if record.service != call.service or (call.version and call.version != record.version):
             return self._refuse("upstream-other")
-        if self._slots.has_free_slot(limited=self._is_limited(call)):
+        if self._slots.has_free_slot(limited=self.nested_call_limit.is_limited(call)):
             return None
         limited = self.running < record.slots and self._slots.get_limit_delay() > 0.0
         held = self.running < record.slots and self._slots.is_held_by_cold()
@@ -441,50 +433,18 @@
             self.cold_guard.count_held("queued")
         return None
 
-    def _is_limited(self, call: Call) -> bool:
-        return not call.nested and self.called_services.is_calling(call.route)
-
     def get_new_limit(self) -> float:
         """Return how many requests of calling routes may run at once; infinite for no limit."""
-        return self.called_services.get_limit(self._count_slots(), self._loop.time())
-
-    def describe_new_limit(self) -> dict[str, float]:
-        """Return the limit of new requests, if there is one, by the called service behind it."""
-        slots, now = self._count_slots(), self._loop.time()
-        service, limit = self.called_services.describe(slots, now)
-        return {} if limit == math.inf else {service: limit}
-
-    def record_nested_call(self, service: str, *, failed: bool) -> None:
-        """Record the end of a call that the upstream made while it ran a request."""
-        self.called_services.record_outcome(
-            service,
-            failed=failed,
-            running=self._slots.running_limited,
-            slots=self._count_slots(),
-            now=self._loop.time(),
-        )
+        return self.nested_call_limit.get_new_limit()
 
     def _refuse_for_room(self, code: str, call: Call) -> Refused:
         """Refuse a call for lack of room here, or at a service that it would call."""
-        if not self._is_limited(call) or self._slots.has_limited_room():
+        if not self.nested_call_limit.is_limited(call) or self._slots.has_limited_room():
             return self._refuse(code)
-        service, limit = self.called_services.describe(self._count_slots(), self._loop.time())
-        self._metrics.count("called_service_busy", service)
-        if self._loop.time() - self._busy_logged_at >= _BUSY_LOG_INTERVAL_S:
-            self._busy_logged_at = self._loop.time()
-            logger.info(
-                "called-service-busy",
-                extra={
-                    "id": call.request_id.decode("latin-1"),
-                    "route": call.route,
-                    "called": service,
-                    "limit": round(limit, 2),
-                    "running": self._slots.running_limited,
-                },
-            )
+        busy_code = self.nested_call_limit.record_refusal(call)
         wait_s = self._estimate_wait(len(self._slots), call) / 1000
         retry_after_s = min(_MAX_BUSY_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
-        return Refused(CALLED_SERVICE_BUSY, retry_after_s, self.get_load())
+        return Refused(busy_code, retry_after_s, self.get_load())
 
     def _check_crashes(self, call: Call, body: bytes) -> Refused | None:
         refusal = self.crash_guard.check(call, body)
@@ -497,7 +457,7 @@
     def _estimate_wait(self, ahead: int, call: Call | None = None) -> float:
         """Return the expected wait of a request for a slot behind others, in ms."""
         slots: float = self.record.slots if self.record else 1
-        if call is not None and self._is_limited(call):
+        if call is not None and self.nested_call_limit.is_limited(call):
             slots = min(slots, max(1.0, self.get_new_limit()))
         slot_wait_ms = (ahead + 1) * self.service_ms / slots
         return max(slot_wait_ms, self._slots.get_limit_delay(ahead=ahead) * 1000)
@@ -516,7 +476,7 @@
             bound_by_objective=not call.urgent
             and (
                 self._slots.is_saturated()
-                or (self._is_limited(call) and not self._slots.has_limited_room())
+                or (self.nested_call_limit.is_limited(call) and not self._slots.has_limited_room())
             ),
         )
 
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -40,6 +40,7 @@
         "_cold_guard",
         "_flow_control",
         "_link_headers",
+        "_nested_call_limit",
         "_placement",
         "_request_reader",
         "_routes",
