Move the checks of where calls may be served out of LocalUpstream

PlacementGuard holds the operator's restrictions and the queued calls, and ends the wait of those that may not be served here any more. Behaviour, events and codes are unchanged.

--- a/balsamhead/mesh/_node.py
+++ b/balsamhead/mesh/_node.py
@@ -131,7 +131,7 @@
             read_boot_time=read_boot_time,
         )
         self._placement = Placement(self._own_record)
-        self._local_upstream.placement = self._placement
+        self._local_upstream.placement_guard.placement = self._placement
         self._placement.on_own_evacuation_ended = lambda: self._local_upstream.assume_cold(
             ColdReason.EVACUATION
         )
--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import time
-from collections import Counter
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.mesh._announcement_order import AnnouncementOrder
@@ -25,6 +24,7 @@
 from balsamhead.mesh._departures import Departures
 from balsamhead.mesh._nested_call_limit import NestedCallLimit
 from balsamhead.mesh._peers import merge_notices
+from balsamhead.mesh._placement_guard import PlacementGuard
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
 from balsamhead.mesh._upstream_statistics import UpstreamStatistics
@@ -37,7 +37,6 @@
 
     from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._metrics import MeshMetrics
-    from balsamhead.mesh._placement import Placement
     from balsamhead.mesh._upstream_connection import UpstreamConnection
     from balsamhead.mesh.model import Config, Departure
 
@@ -143,10 +142,7 @@
         self._statistics = UpstreamStatistics()
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
-        #: where the operator allows requests to be served; None for everywhere
-        self.placement: Placement | None = None
-        #: queued calls by the timeout that ends their wait
-        self._waiting_calls: dict[asyncio.Timeout, Call] = {}
+        self.placement_guard = PlacementGuard()
 
     def apply_config(self, config: Config) -> None:
         """Apply what a configuration says about nested calls and client accounts."""
@@ -279,26 +275,15 @@
             and now >= self._unavailable_until
             and now - self._announced_at < self._announcement_timeout_s
             and not self.stopping
-            and (self.placement is None or not self.placement.hold_code)
+            and not self.placement_guard.is_held()
         )
 
     def apply_placement(self) -> None:
         """Deny the queued calls that may not be served here any more; running ones go on."""
-        denied: Counter[str] = Counter()
-        for timeout, call in self._waiting_calls.items():
-            code = self._find_misplacement(call)
-            if code:
-                timeout.reschedule(self._loop.time())
-                denied[code] += 1
-        for code, count in denied.items():
-            logger.info("waiting-refused", extra={"code": code, "requests": count})
+        self.placement_guard.deny_misplaced()
         self._on_change()
         self._slots.start_queued()
 
-    def _find_misplacement(self, call: Call) -> str:
-        """Return the code with which a call is refused since it may not be served here, or ""."""
-        return "" if self.placement is None else self.placement.find_refusal_code(call)
-
     def _count_slots(self) -> int:
         return self.record.slots if self.record is not None and self.accepts_requests() else 0
 
@@ -394,7 +379,7 @@
         if self._slots.has_free_slot(limited=limited):
             self._slots.acquire(limited=limited)
         elif not await self._wait_for_slot(call, limited=limited):
-            misplacement = self._find_misplacement(call)
+            misplacement = self.placement_guard.find_misplacement(call)
             if misplacement:
                 return self._refuse(misplacement)
             return self._refuse_for_room("upstream-busy", call)
@@ -409,7 +394,7 @@
     def _check_admission(self, call: Call) -> Refused | None:
         self.cold_guard.check_pause()
         record = self.record
-        misplacement = self._find_misplacement(call)
+        misplacement = self.placement_guard.find_misplacement(call)
         if misplacement:
             return self._refuse(misplacement)
         if record is None or not self.accepts_requests():
@@ -487,21 +472,10 @@
 
     async def _wait_for_slot(self, call: Call, *, limited: bool) -> bool:
         max_wait_s = self._compute_max_wait(call) / 1000
-        try:
-            async with asyncio.timeout(None) as timeout:
-                self._waiting_calls[timeout] = call
-                try:
-                    return await self._slots.wait(
-                        call.priority,
-                        max_wait_s=max_wait_s,
-                        account=call.account,
-                        limited=limited,
-                    )
-                finally:
-                    del self._waiting_calls[timeout]
-        except TimeoutError:
-            # the configuration or an evacuation forbids the call by now
-            return False
+        slot = self._slots.wait(
+            call.priority, max_wait_s=max_wait_s, account=call.account, limited=limited
+        )
+        return await self.placement_guard.wait(call, slot)
 
     async def _exchange(
         self, call: Call, body: bytes, rest: BodyRest | None, deadline: float, limited: bool
@@ -533,7 +507,7 @@
         record = self.record
         if record is None or not self._may_still_send(call, record):
             self._connections.release(conn)
-            return self._refuse(self._find_misplacement(call) or "upstream-draining")
+            return self._refuse(self.placement_guard.find_misplacement(call) or "upstream-draining")
         started_at = self._loop.time()
         remaining_s = deadline - started_at
         if remaining_s <= 0:
@@ -611,7 +585,7 @@
         return (
             self.accepts_requests()
             and (not call.version or call.version == record.version)
-            and not self._find_misplacement(call)
+            and not self.placement_guard.find_misplacement(call)
         )
 
     async def _connect(self, call: Call) -> UpstreamConnection | None:
--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -49,7 +49,7 @@
         "_traffic_split",
         "_state_history",
     ),
-    ("_body_transfer", "_server_context"),
+    ("_body_transfer", "_server_context", "_placement_guard"),
     (
         "_server_connection",
         "_upstream_connection",
