Move the checks of accounts and quotas out of RequestRouter

AccountAdmission authenticates a request and takes or returns its token, and returns refusals as data, which the router turns into replies.

--- a/tests/test_docs/test_layers.py
+++ b/tests/test_docs/test_layers.py
@@ -67,6 +67,7 @@
     ("_upstream_index", "_rollouts", "_sync", "_freshness_exchange"),
     ("_upstream_selector",),
     ("_quota_exchange",),
+    ("_account_admission",),
     ("_request_router", "_rollout_exchange", "_crash_exchange", "_admission_exchange"),
     ("_node",),
     ("_daemon",),
