--- a/balsamhead/mesh/_upstream.py
+++ b/balsamhead/mesh/_upstream.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import logging
-import math
 import time
-from collections import Counter
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from balsamhead.mesh._announcement_order import AnnouncementOrder
@@ -20,32 +18,27 @@
     ResponseNotices,
     UpstreamResponse,
 )
+from balsamhead.mesh._cold_guard import ColdGuard
 from balsamhead.mesh._connection_pool import ConnectionPool
 from balsamhead.mesh._crash_guard import TRIAL_CODES, CrashGuard
 from balsamhead.mesh._departures import Departures
+from balsamhead.mesh._nested_call_limit import NestedCallLimit
 from balsamhead.mesh._peers import merge_notices
+from balsamhead.mesh._placement_guard import PlacementGuard
 from balsamhead.mesh._queue_timeout import compute_max_wait
 from balsamhead.mesh._slot_queue import SlotHold, SlotQueue
 from balsamhead.mesh._upstream_statistics import UpstreamStatistics
-from balsamhead.mesh.admission import (
-    CALLED_SERVICE_BUSY,
-    NESTED_PRIORITY,
-    CalledServices,
-    NestedRoutes,
-    compute_nested_wait,
-)
+from balsamhead.mesh.admission import compute_nested_wait
 from balsamhead.mesh.model import Load, RouteKind, UpstreamNotice, UpstreamRecord, UpstreamState
-from balsamhead.mesh.warmup import ColdAdmission, ColdReason, LossSigns
-from balsamhead.util.pauses import PauseDetector
+from balsamhead.mesh.warmup import ColdReason
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from balsamhead.mesh._crash_registry import CrashRegistry
     from balsamhead.mesh._metrics import MeshMetrics
-    from balsamhead.mesh._placement import Placement
     from balsamhead.mesh._upstream_connection import UpstreamConnection
-    from balsamhead.mesh.model import ColdStart, Config, Departure
+    from balsamhead.mesh.model import Config, Departure
 
 __all__ = ("CallResult", "LocalUpstream")
 
@@ -60,19 +53,12 @@
 _SILENT_ANNOUNCEMENTS: Final = 2
 #: time after the deadline of a call at which its streamed response is cut, in s
 _STREAM_GRACE_S: Final = 0.5
-#: codes of the loss of a connection before and after the first byte of the response
-_UNHEARD_LOSS: Final = "connection-lost-unheard"
-_LOSS_CODES: Final = (_UNHEARD_LOSS, "connection-lost")
-#: longest time between two checks for a pause of the process, in s
-_PAUSE_CHECK_INTERVAL_S: Final = 0.3
 #: upper bound of a refusal's Retry-After, in s
 _MAX_RETRY_AFTER_S: Final = 0.3
 #: lower bound of a refusal's Retry-After, in s
 _MIN_RETRY_AFTER_S: Final = 0.03
 #: the upper bound where a called service has no room, in s; it takes longer to get some
 _MAX_BUSY_RETRY_AFTER_S: Final = 1.0
-#: shortest interval between two log lines on refusals for lack of room at called services, in s
-_BUSY_LOG_INTERVAL_S: Final = 1.0
 
 
 class CallResult(NamedTuple):
@@ -116,25 +102,26 @@
         self._on_result = on_result
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
-        self._cold = ColdAdmission(
-            silence_s=announce_interval_s * _SILENT_ANNOUNCEMENTS, now=self._loop.time()
+        self.cold_guard = ColdGuard(
+            silence_s=announce_interval_s * _SILENT_ANNOUNCEMENTS,
+            get_record=lambda: self.record,
+            on_change=self._cold_state_changed,
+            metrics=metrics,
+            read_boot_time=read_boot_time,
         )
-        self._cold_reason: ColdReason | None = None
-        self._loss_signs = LossSigns()
-        self._pauses = PauseDetector(
-            read_boot_time=read_boot_time or self._loop.time,
-            get_time=self._loop.time,
-            interval_s=_PAUSE_CHECK_INTERVAL_S,
+        self.nested_call_limit = NestedCallLimit(
+            count_slots=self._count_slots,
+            count_running_limited=lambda: self._slots.running_limited,
+            metrics=metrics,
         )
-        #: services that the upstream calls, and the limit of new requests that follows from them
-        self.called_services = CalledServices()
+        self.called_services = self.nested_call_limit.called_services
+        self.nested_routes = self.nested_call_limit.nested_routes
         self._slots = SlotQueue(
             count_slots=self._count_slots,
             metrics=metrics,
-            cold=self._cold,
+            cold=self.cold_guard.admission,
             get_new_limit=self.get_new_limit,
         )
-        self._busy_logged_at = -math.inf
         self._announced_at = 0.0
         self._slow_start_ends_at = 0.0
         self._unavailable_until = 0.0
@@ -153,14 +140,9 @@
             on_crash=lambda: self.assume_cold(ColdReason.CRASH),
         )
         self._statistics = UpstreamStatistics()
-        #: routes whose requests are calls that upstreams make while they run others
-        self.nested_routes = NestedRoutes()
         #: the node stops and sends no more requests to the upstream
         self.stopping = False
-        #: where the operator allows requests to be served; None for everywhere
-        self.placement: Placement | None = None
-        #: queued calls by the timeout that ends their wait
-        self._waiting_calls: dict[asyncio.Timeout, Call] = {}
+        self.placement_guard = PlacementGuard()
 
     def apply_config(self, config: Config) -> None:
         """Apply what a configuration says about nested calls and client accounts."""
@@ -181,7 +163,7 @@
         now = self._loop.time()
         if self._precedes_recalled(record) or not self._order.accept(record, now):
             return False
-        self._check_pause()
+        self.cold_guard.check_pause()
         if self.departures.has_left(record):
             record = record._replace(state=UpstreamState.DRAINING)
         elif record.state is UpstreamState.DRAINING:
@@ -200,10 +182,7 @@
         self.record = record
         self._announced_at = now
         self._slow_start_ends_at = now + record.slow_start_s
-        self._cold.apply_heartbeat(
-            started_at_ms=record.started_at_ms, cold_s=record.slow_start_s, now=now
-        )
-        self.update_cold_state()
+        self.cold_guard.apply_heartbeat(record, now)
         if self._unavailable_until:
             self._unavailable_until = 0.0
             changed = True
@@ -296,26 +275,15 @@
             and now >= self._unavailable_until
             and now - self._announced_at < self._announcement_timeout_s
             and not self.stopping
-            and (self.placement is None or not self.placement.hold_code)
+            and not self.placement_guard.is_held()
         )
 
     def apply_placement(self) -> None:
         """Deny the queued calls that may not be served here any more; running ones go on."""
-        denied: Counter[str] = Counter()
-        for timeout, call in self._waiting_calls.items():
-            code = self._find_misplacement(call)
-            if code:
-                timeout.reschedule(self._loop.time())
-                denied[code] += 1
-        for code, count in denied.items():
-            logger.info("waiting-refused", extra={"code": code, "requests": count})
+        self.placement_guard.deny_misplaced()
         self._on_change()
         self._slots.start_queued()
 
-    def _find_misplacement(self, call: Call) -> str:
-        """Return the code with which a call is refused since it may not be served here, or ""."""
-        return "" if self.placement is None else self.placement.find_refusal_code(call)
-
     def _count_slots(self) -> int:
         return self.record.slots if self.record is not None and self.accepts_requests() else 0
 
@@ -331,56 +299,18 @@
 
     def is_in_slow_start(self) -> bool:
         """Return whether the upstream is in slow start, or treated as cold."""
-        now = self._loop.time()
-        return now < self._slow_start_ends_at or self._cold.is_cold(now)
-
-    # -- cold upstream -----------------------------------------------------------------------
-
-    def set_cold_start(self, cold_start: ColdStart | None) -> None:
-        """Change what the upstream takes while cold; None if its service has no cold phase."""
-        self._cold.set_cold_start(cold_start, self._loop.time())
-        self.update_cold_state()
+        return self._loop.time() < self._slow_start_ends_at or self.cold_guard.is_cold()
 
     def assume_cold(self, reason: ColdReason) -> None:
         """Treat the upstream as cold until its next heartbeat, since it may have started again."""
-        self._cold.assume_cold(reason, self._loop.time())
-        self.update_cold_state()
-
-    def update_cold_state(self) -> None:
-        """Log whether the upstream is treated as cold if that has changed, and tell the peers."""
-        self._check_pause()
-        previous, reason = self._cold_reason, self._cold.get_reason(self._loop.time())
-        if reason is previous:
-            return
-        self._cold_reason = reason
-        upstream_id = self.record.id if self.record is not None else ""
-        if reason is None:
-            logger.info("upstream-warm", extra={"upstream": upstream_id})
-        else:
-            cold_start = self._cold.cold_start
-            logger.info(
-                "upstream-cold",
-                extra={
-                    "upstream": upstream_id,
-                    "reason": reason,
-                    "rate_per_s": cold_start.rate_per_s if cold_start is not None else None,
-                },
-            )
-        if previous is None or reason is None:
-            self._on_change()
-            self._slots.start_queued()
+        self.cold_guard.assume_cold(reason)
 
-    def _check_pause(self) -> None:
-        """Assume that the upstream is cold if the process did not run for some time."""
-        pause_s = self._pauses.check()
-        if not pause_s:
-            return
-        self._cold.assume_cold(ColdReason.PAUSE, self._loop.time())
-        if self._cold.cold_start is not None:
-            logger.warning("process-paused", extra={"pause_s": round(pause_s, 2)})
+    def _cold_state_changed(self) -> None:
+        self._on_change()
+        self._slots.start_queued()
 
     def _refuse_cold(self, stage: str) -> Refused:
-        self._metrics.count("cold_admissions_held", stage)
+        self.cold_guard.count_held(stage)
         return self._refuse("upstream-cold")
 
     def get_load(self) -> Load:
@@ -439,10 +369,8 @@
         """
         now = self._loop.time()
         deadline = now + call.remaining_ms / 1000
-        self.nested_routes.record(call.route, call.caller_service, now)
-        if call.nested or self.nested_routes.is_nested(call.route, now):
-            call = call._replace(nested=True, priority=NESTED_PRIORITY)
-        limited = self._is_limited(call)
+        call = self.nested_call_limit.classify(call)
+        limited = self.nested_call_limit.is_limited(call)
         if call.nested and not self._slots.has_free_slot():
             self.called_services.record_wait(now)
         refusal = self._check_admission(call) or self._check_crashes(call, body)
@@ -451,7 +379,7 @@
         if self._slots.has_free_slot(limited=limited):
             self._slots.acquire(limited=limited)
         elif not await self._wait_for_slot(call, limited=limited):
-            misplacement = self._find_misplacement(call)
+            misplacement = self.placement_guard.find_misplacement(call)
             if misplacement:
                 return self._refuse(misplacement)
             return self._refuse_for_room("upstream-busy", call)
@@ -464,16 +392,16 @@
         return await self._exchange(call, body, rest, deadline, limited)
 
     def _check_admission(self, call: Call) -> Refused | None:
-        self._check_pause()
+        self.cold_guard.check_pause()
         record = self.record
-        misplacement = self._find_misplacement(call)
+        misplacement = self.placement_guard.find_misplacement(call)
         if misplacement:
             return self._refuse(misplacement)
         if record is None or not self.accepts_requests():
             return self._refuse("upstream-unavailable")
         if record.service != call.service or (call.version and call.version != record.version):
             return self._refuse("upstream-other")
-        if self._slots.has_free_slot(limited=self._is_limited(call)):
+        if self._slots.has_free_slot(limited=self.nested_call_limit.is_limited(call)):
             return None
         limited = self.running < record.slots and self._slots.get_limit_delay() > 0.0
         held = self.running < record.slots and self._slots.is_held_by_cold()
@@ -487,53 +415,21 @@
                 return self._refuse_cold("refused")
             return self._refuse_for_room("upstream-busy", call)
         if held:
-            self._metrics.count("cold_admissions_held", "queued")
+            self.cold_guard.count_held("queued")
         return None
 
-    def _is_limited(self, call: Call) -> bool:
-        return not call.nested and self.called_services.is_calling(call.route)
-
     def get_new_limit(self) -> float:
         """Return how many requests of calling routes may run at once; infinite for no limit."""
-        return self.called_services.get_limit(self._count_slots(), self._loop.time())
-
-    def describe_new_limit(self) -> dict[str, float]:
-        """Return the limit of new requests, if there is one, by the called service behind it."""
-        slots, now = self._count_slots(), self._loop.time()
-        service, limit = self.called_services.describe(slots, now)
-        return {} if limit == math.inf else {service: limit}
-
-    def record_nested_call(self, service: str, *, failed: bool) -> None:
-        """Record the end of a call that the upstream made while it ran a request."""
-        self.called_services.record_outcome(
-            service,
-            failed=failed,
-            running=self._slots.running_limited,
-            slots=self._count_slots(),
-            now=self._loop.time(),
-        )
+        return self.nested_call_limit.get_new_limit()
 
     def _refuse_for_room(self, code: str, call: Call) -> Refused:
         """Refuse a call for lack of room here, or at a service that it would call."""
-        if not self._is_limited(call) or self._slots.has_limited_room():
+        if not self.nested_call_limit.is_limited(call) or self._slots.has_limited_room():
             return self._refuse(code)
-        service, limit = self.called_services.describe(self._count_slots(), self._loop.time())
-        self._metrics.count("called_service_busy", service)
-        if self._loop.time() - self._busy_logged_at >= _BUSY_LOG_INTERVAL_S:
-            self._busy_logged_at = self._loop.time()
-            logger.info(
-                "called-service-busy",
-                extra={
-                    "id": call.request_id.decode("latin-1"),
-                    "route": call.route,
-                    "called": service,
-                    "limit": round(limit, 2),
-                    "running": self._slots.running_limited,
-                },
-            )
+        busy_code = self.nested_call_limit.record_refusal(call)
         wait_s = self._estimate_wait(len(self._slots), call) / 1000
         retry_after_s = min(_MAX_BUSY_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
-        return Refused(CALLED_SERVICE_BUSY, retry_after_s, self.get_load())
+        return Refused(busy_code, retry_after_s, self.get_load())
 
     def _check_crashes(self, call: Call, body: bytes) -> Refused | None:
         refusal = self.crash_guard.check(call, body)
@@ -546,7 +442,7 @@
     def _estimate_wait(self, ahead: int, call: Call | None = None) -> float:
         """Return the expected wait of a request for a slot behind others, in ms."""
         slots: float = self.record.slots if self.record else 1
-        if call is not None and self._is_limited(call):
+        if call is not None and self.nested_call_limit.is_limited(call):
             slots = min(slots, max(1.0, self.get_new_limit()))
         slot_wait_ms = (ahead + 1) * self.service_ms / slots
         return max(slot_wait_ms, self._slots.get_limit_delay(ahead=ahead) * 1000)
@@ -565,7 +461,7 @@
             bound_by_objective=not call.urgent
             and (
                 self._slots.is_saturated()
-                or (self._is_limited(call) and not self._slots.has_limited_room())
+                or (self.nested_call_limit.is_limited(call) and not self._slots.has_limited_room())
             ),
         )
 
@@ -576,21 +472,10 @@
 
     async def _wait_for_slot(self, call: Call, *, limited: bool) -> bool:
         max_wait_s = self._compute_max_wait(call) / 1000
-        try:
-            async with asyncio.timeout(None) as timeout:
-                self._waiting_calls[timeout] = call
-                try:
-                    return await self._slots.wait(
-                        call.priority,
-                        max_wait_s=max_wait_s,
-                        account=call.account,
-                        limited=limited,
-                    )
-                finally:
-                    del self._waiting_calls[timeout]
-        except TimeoutError:
-            # the configuration or an evacuation forbids the call by now
-            return False
+        slot = self._slots.wait(
+            call.priority, max_wait_s=max_wait_s, account=call.account, limited=limited
+        )
+        return await self.placement_guard.wait(call, slot)
 
     async def _exchange(
         self, call: Call, body: bytes, rest: BodyRest | None, deadline: float, limited: bool
@@ -622,7 +507,7 @@
         record = self.record
         if record is None or not self._may_still_send(call, record):
             self._connections.release(conn)
-            return self._refuse(self._find_misplacement(call) or "upstream-draining")
+            return self._refuse(self.placement_guard.find_misplacement(call) or "upstream-draining")
         started_at = self._loop.time()
         remaining_s = deadline - started_at
         if remaining_s <= 0:
@@ -632,8 +517,8 @@
         if refusal is not None:
             self._connections.release(conn)
             return refusal
-        self._check_pause()
-        if not self._cold.try_send(started_at):
+        self.cold_guard.check_pause()
+        if not self.cold_guard.admission.try_send(started_at):
             self._connections.release(conn)
             return self._refuse_cold("unsent")
 
@@ -648,7 +533,7 @@
             self._connections.release(conn)
             slot_hold.release()
             self.crash_guard.finish(running, outcome)
-            self._check_loss(outcome, fresh=fresh)
+            self.cold_guard.check_loss(outcome, fresh=fresh)
             if not call.nested:
                 self.called_services.record_request(call.route, calls_before=calls_before)
 
@@ -675,14 +560,6 @@
         self._record_outcome(call, record, outcome, took_s * 1000)
         return outcome
 
-    def _check_loss(self, outcome: Outcome, *, fresh: bool) -> None:
-        """Assume that the upstream is cold if connections are lost as in a crash."""
-        if not isinstance(outcome, OutcomeUnknown) or outcome.code not in _LOSS_CODES:
-            return
-        heard = outcome.code != _UNHEARD_LOSS
-        if self._loss_signs.record_loss(self._loop.time(), fresh=fresh, heard=heard):
-            self.assume_cold(ColdReason.CRASH)
-
     def _apply_notices(self, call: Call, record: UpstreamRecord, notices: ResponseNotices) -> None:
         if self.record is None or self.record.started_at_ms != record.started_at_ms:
             # the response is of an earlier incarnation
@@ -708,7 +585,7 @@
         return (
             self.accepts_requests()
             and (not call.version or call.version == record.version)
-            and not self._find_misplacement(call)
+            and not self.placement_guard.find_misplacement(call)
         )
 
     async def _connect(self, call: Call) -> UpstreamConnection | None:
