Limit new requests only for nested calls that failed for lack of room

Cause: upstreams of a called service that shed half of their requests, though their nodes send them no more than they have slots for, looked like a service without room.

Change: a nested call counts as a sign of lack of room by the code with which this node refused or failed it, or if it was late.

Result: unit test; the limit's other tests are unchanged.

--- a/balsamhead/mesh/_request_router.py
+++ b/balsamhead/mesh/_request_router.py
@@ -25,6 +25,7 @@
     NESTED_PRIORITY,
     TriedNodes,
     is_late,
+    shows_lack_of_room,
 )
 from balsamhead.mesh.balancing import is_even
 from balsamhead.mesh.model import ROUTE_PRIORITIES, Config, Route, RouteKind
@@ -252,7 +253,8 @@
         served = reply.status not in _UNSERVED_STATUSES
         if trace.nested:
             late = is_late(self._loop.time() - request.received_at, route.objective_s)
-            self._local.nested_call_limit.record_nested_call(service, failed=late or not served)
+            refused = not served and shows_lack_of_room(trace.failure_code)
+            self._local.nested_call_limit.record_nested_call(service, failed=late or refused)
         else:
             self._fairness.record(service, route.priority, served=served)
         self._metrics.observe(
@@ -547,6 +549,7 @@
         return Reply(status)
 
     def _log_failure(self, trace: RequestTrace, code: str, status: int) -> None:
+        trace.failure_code = code
         self._metrics.count("requests_failed", code)
         logger.info(
             "request-failed",
--- a/balsamhead/mesh/_request_trace.py
+++ b/balsamhead/mesh/_request_trace.py
@@ -57,6 +57,7 @@
         "attempts",
         "client_account",
         "deliveries",
+        "failure_code",
         "key_digest_prefix",
         "last_decision",
         "may_have_run",
@@ -83,6 +84,8 @@
         self.last_decision: Decision | None = None
         #: number of upstreams that received the request
         self.deliveries = 0
+        #: code with which this node refused or failed the request; empty if it did neither
+        self.failure_code = ""
         #: an upstream may have run the request
         self.may_have_run = False
         #: an upstream makes the request while it runs another one
--- a/balsamhead/mesh/admission/__init__.py
+++ b/balsamhead/mesh/admission/__init__.py
@@ -6,6 +6,7 @@
     CALLED_SERVICE_BUSY,
     CalledServices,
     is_late,
+    shows_lack_of_room,
 )
 from balsamhead.mesh.admission._nested_routes import (
     ANNOUNCE_INTERVAL_S,
@@ -32,4 +33,5 @@
     "compute_nested_wait",
     "has_demanding_terms",
     "is_late",
+    "shows_lack_of_room",
 )
--- a/balsamhead/mesh/admission/_called_services.py
+++ b/balsamhead/mesh/admission/_called_services.py
@@ -5,10 +5,29 @@
 import math
 from typing import Final, NamedTuple
 
-__all__ = ("CALLED_SERVICE_BUSY", "CalledServices", "LimitDescription", "is_late")
+__all__ = (
+    "CALLED_SERVICE_BUSY",
+    "CalledServices",
+    "LimitDescription",
+    "is_late",
+    "shows_lack_of_room",
+)
 
 #: code of the refusal of a new request whose calls would find no room
 CALLED_SERVICE_BUSY: Final = "called-service-busy"
+#: codes of failures that fewer new requests would prevent. An upstream that sheds is not among the
+#: causes: its node sends it no more than it has slots for, so it sheds for other reasons.
+_ROOM_CODES: Final = frozenset(
+    (
+        CALLED_SERVICE_BUSY,
+        "deadline-passed",
+        "upstream-busy",
+        "upstream-cold",
+        "upstream-full",
+        "upstream-limited",
+        "upstreams-busy",
+    )
+)
 #: multiple of its latency objective after which a nested call is late; one that merely misses the
 #: objective still serves its parent, and to limit new requests for it costs more than it saves
 _LATE_OBJECTIVES: Final = 2.0
@@ -41,6 +60,14 @@
     return took_s > _LATE_OBJECTIVES * objective_s
 
 
+def shows_lack_of_room(failure_code: str) -> bool:
+    """Return whether a nested call failed since its service has no room for more.
+
+    :param failure_code: code of this mesh's refusal; empty for a response of the upstream.
+    """
+    return not failure_code or failure_code in _ROOM_CODES
+
+
 class LimitDescription(NamedTuple):
     """The limit of new requests, and the called service that caused it."""
 
--- a/tests/test_mesh/test_called_services.py
+++ b/tests/test_mesh/test_called_services.py
@@ -10,6 +10,7 @@
     CalledServices,
     TriedNodes,
     is_late,
+    shows_lack_of_room,
 )
 from tests.test_mesh.builders import (
     NODE_1,
@@ -91,6 +92,23 @@
     assert is_late(0.6, 0.29)
 
 
+# A called service that sheds for other reasons held back all requests that would call it: 205 of
+# 890 refusals on a day with upstreams that shed half of their requests.
+@pytest.mark.parametrize(
+    ("code", "expected"),
+    [
+        ("upstream-busy", True),
+        ("deadline-passed", True),
+        ("", True),
+        ("upstream-shed", False),
+        ("connection-lost", False),
+        ("no-upstream", False),
+    ],
+)
+def test_only_failures_for_lack_of_room_limit_new_requests(code: str, expected: bool) -> None:
+    assert shows_lack_of_room(code) is expected
+
+
 def test_limiting_nodes_are_left_out_until_none_remains() -> None:
     tried = TriedNodes()
     tried.record_full("node-1", CALLED_SERVICE_BUSY)
